--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime/debug"
 
-	"gorsesaddle/internal/wire"
+	"capersail/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"gorsesaddle/decide"
+	"capersail/decide"
 )
 
 // A relay with one backend asks for its load first, and places the connection by the answer.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"gorsesaddle/decide"
+	"capersail/decide"
 )
 
 // newNode starts an instance from its settings. Keys that are absent count as 0, unknown ones are skipped.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"gorsesaddle/decide"
+	"capersail/decide"
 )
 
 // Hub hosts many instances of the module. They share the spelling of backend names and nothing else.
