--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,81 @@
+// Package lifecycle reads the configuration, starts the parts of a relay, follows signals, and stops it.
+package lifecycle
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fastjson"
+
+	"capersail/internal/memory"
+	"capersail/internal/wire"
+	"capersail/internal/wire/discovery"
+)
+
+// Config is what a relay is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	Known     *discovery.List
+	Site      *memory.Site
+}
+
+// ReadConfig reads the platform's configuration: the file that LB_CONFIG names, and the variables that
+// stand in for keys it lacks. An error names the key.
+func ReadConfig(getenv func(string) string, log zerolog.Logger) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("LB_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+	}
+	read := func(key, variable string) string {
+		if s := string(v.GetStringBytes(key)); s != "" {
+			return s
+		}
+		return getenv(variable)
+	}
+	c := &Config{Name: read("name", "LB_NAME"), Listen: read("listen", "LB_LISTEN"), Discovery: read("discovery", "LB_DISCOVERY"),
+		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets")}
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	if seed := string(v.GetStringBytes("seed")); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", seed)
+		}
+	}
+	if c.MemoryMB < 0 || c.Sockets < 0 {
+		return nil, fmt.Errorf("limits: memory_mb and sockets must not be negative")
+	}
+	settings := v.Get("settings")
+	if settings == nil || settings.Type() != fastjson.TypeObject {
+		return nil, fmt.Errorf("settings: an object is wanted")
+	}
+	if len(settings.GetArray("classes")) == 0 {
+		return nil, fmt.Errorf("settings.classes: at least one class is wanted")
+	}
+	c.Site = wire.DecodeSettings(settings)
+	c.Known = &discovery.List{}
+	if known := v.Get("known"); known != nil {
+		if c.Known, err = discovery.Parse(known.String(), log); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/memory/clock.go
@@ -0,0 +1,68 @@
+// Package memory keeps everything a relay knows while it runs: the clock, the list of servers, the state
+// of every request, and the loop that feeds the decision module. It knows no wire.
+package memory
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// clockStart is what a new clock reads. It lies well above 0, which in discovery's list means "long ago".
+const clockStart = 3600 * 1000
+
+// Clock is the program's only source of time: milliseconds since an arbitrary origin. A clock made by
+// NewSetClock stands still until a test sets it.
+type Clock struct {
+	origin time.Time
+	manual bool
+	set    atomic.Uint64 // bits of the time of a clock that tests set
+}
+
+// NewClock returns a clock that runs.
+func NewClock() *Clock { return &Clock{origin: time.Now()} }
+
+// NewSetClock returns a clock that stands still.
+func NewSetClock() *Clock {
+	c := &Clock{origin: time.Unix(1_000_000_000, 0), manual: true}
+	c.Set(clockStart)
+	return c
+}
+
+// Set moves a clock made by NewSetClock.
+func (c *Clock) Set(ms float64) { c.set.Store(math.Float64bits(ms)) }
+
+// Now is the time in milliseconds.
+func (c *Clock) Now() float64 {
+	if c.manual {
+		return math.Float64frombits(c.set.Load())
+	}
+	return clockStart + float64(time.Since(c.origin).Nanoseconds())/1e6
+}
+
+// FromUnix turns Unix time in milliseconds into this clock's; 0 stays 0, for long ago.
+func (c *Clock) FromUnix(ms float64) float64 {
+	if ms == 0 {
+		return 0
+	}
+	return clockStart + ms - float64(c.origin.UnixNano())/1e6
+}
+
+// Wall is when a network deadline falls that lies at ms on this clock.
+func (c *Clock) Wall(ms float64) time.Time { return time.Now().Add(Duration(ms - c.Now())) }
+
+// Duration is the one place where milliseconds become a time.Duration. It rounds to whole microseconds,
+// in which the module's figures are stated, and bounds what is out of all reason.
+func Duration(ms float64) time.Duration {
+	us := math.Round(ms * 1000)
+	if math.Abs(us) > 1e15 {
+		us = math.Copysign(1e15, us)
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// Millis is the way back from the module's durations.
+func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// After sends once ms have passed.
+func (c *Clock) After(ms float64) <-chan time.Time { return time.After(Duration(ms)) }
--- /dev/null
+++ b/internal/memory/exchange.go
@@ -0,0 +1,531 @@
+package memory
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"capersail/decide"
+)
+
+// State is where a call stands.
+type State uint8
+
+// The states of a call. Held and Trying alternate, once for each attempt; Up and Ended are never left for
+// an earlier one.
+const (
+	Held   State = iota // no attempt is out; the module has it
+	Trying              // one attempt is out
+	Up                  // it belongs to a server
+	Ended               // answered, or its client has left
+)
+
+// Ending is how one side of a call ended, so that the other can be ended in the same way.
+type Ending uint8
+
+// The ways to end.
+const (
+	Clean Ending = iota
+	Broken
+)
+
+// AnswerKind is what a client is told that is not served.
+type AnswerKind uint8
+
+// The answers.
+const (
+	NoAnswer AnswerKind = iota // none, or the client left before it
+	Refused
+	Failed
+)
+
+// Answer is the final answer to a call that never came up.
+type Answer struct {
+	Kind       AnswerKind
+	RetryAfter float64 // with Refused, 0 for no advice
+	Cause      decide.Status
+}
+
+// Ask is what a client wants, in the module's numbers.
+type Ask struct {
+	Class    decide.Class
+	Tenant   decide.Tenant
+	Key      uint64
+	Group    uint64
+	Hint     float64
+	Left     float64 // milliseconds that the client will wait
+	Returned bool
+	Payload  any // what the front's two sides share; nothing here looks at it
+}
+
+// Client is the client side's end of a call. Pass and Close are called by the server side only, once
+// the call is up. Wake must not block; it says that the call's state has changed.
+type Client interface {
+	Pass(p []byte) error
+	Close(how Ending)
+	Wake()
+}
+
+// Remote is the server side's end of an attempt. Close and Wake must not block. Wake says that the call is
+// to be moved, or that its server has begun to drain.
+type Remote interface {
+	Pass(p []byte) error
+	Close(how Ending)
+	Wake()
+}
+
+// Attempt is one wanted send.
+type Attempt struct {
+	No     int
+	Server Server
+	SentAt float64
+	Until  float64 // when the relay stops waiting
+}
+
+// Servers is the server side as the core sees it. Neither method may block.
+type Servers interface {
+	Try(c *Call, a Attempt)
+	Probe(s Server, done func(status decide.Status, report decide.Report))
+}
+
+// Exchange is where the client side and the server side meet, and the guard of the rules: each request has
+// one state machine, gets one final answer, and has at most one attempt out; a send is checked against
+// the newest list just before its first byte. It is safe for use by many goroutines; nothing in it blocks.
+type Exchange struct {
+	Clock *Clock
+
+	mu      sync.Mutex
+	site    *Site
+	roster  roster
+	calls   map[decide.RequestID]*Call
+	lastID  decide.RequestID
+	inbox   []decide.Event
+	ready   chan struct{} // holds one token while the inbox has something
+	leaving bool
+	servers Servers
+}
+
+// Call is one request. Its fields are the Exchange's; both sides use its methods.
+type Call struct {
+	Ask
+	ID decide.RequestID
+
+	x        *Exchange
+	client   Client
+	state    State
+	settled  chan struct{} // closed once the call is up or ended
+	answer   Answer
+	deadline float64
+	resumed  bool // it was open at its server before this relay started
+
+	attempt  Attempt
+	sends    int
+	out      bool // an attempt is out: its end has not been told
+	begun    bool // its first byte may have been written
+	mayRun   bool // some attempt ended without proof that it never ran
+	canceled bool
+	moving   bool
+	silent   bool
+	remote   Remote
+	asked    float64 // when the oldest line went to the server that nothing came back for, 0 if none
+}
+
+// NewExchange returns an Exchange without calls.
+func NewExchange(site *Site, clock *Clock, servers Servers) *Exchange {
+	return &Exchange{Clock: clock, site: site, servers: servers, calls: map[decide.RequestID]*Call{},
+		roster: roster{site: site, clock: clock, byID: map[string]*Server{}}, ready: make(chan struct{}, 1)}
+}
+
+// post queues an event for the module. The caller holds the lock.
+func (x *Exchange) post(ev decide.Event) {
+	x.inbox = append(x.inbox, ev)
+	select {
+	case x.ready <- struct{}{}:
+	default:
+	}
+}
+
+// Members takes news of the servers: at once for the check before a send, and in turn for the module.
+func (x *Exchange) Members(kind decide.ListKind, list []Listed) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.post(x.roster.take(kind, list))
+	for _, c := range x.calls { // whoever is half-way set up at a server that drains now wants to know
+		if c.state == Trying && c.remote != nil && c.attempt.listed().mode != decide.Ready {
+			c.remote.Wake()
+		}
+	}
+}
+
+// listed finds the server of an attempt as the newest list has it. The roster never drops one.
+func (a *Attempt) listed() *Server { return a.Server.now }
+
+// Open takes on a request. A relay that is leaving refuses it at once.
+func (x *Exchange) Open(a Ask, client Client) *Call {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.enter(a, client)
+	if x.leaving {
+		c.end(Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64()})
+		return c
+	}
+	x.post(c.request())
+	return c
+}
+
+// Resume takes on a connection that was open at a server before this relay started. The module hears of it
+// once it is up again.
+func (x *Exchange) Resume(a Ask, server string, client Client) *Call {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.enter(a, client)
+	c.resumed = true
+	if s := x.roster.byID[server]; s == nil || x.leaving {
+		c.end(Answer{Kind: Failed})
+	} else {
+		c.try(s, 0)
+	}
+	return c
+}
+
+func (x *Exchange) enter(a Ask, client Client) *Call {
+	x.lastID++
+	c := &Call{Ask: a, ID: x.lastID, x: x, client: client, settled: make(chan struct{}), deadline: x.Clock.Now() + a.Left}
+	x.calls[c.ID] = c
+	return c
+}
+
+func (c *Call) request() decide.Request {
+	return decide.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Left: Duration(c.Left), Hint: c.Hint,
+		Group: c.Group, Returned: c.Returned}
+}
+
+// try starts an attempt. The caller holds the lock.
+func (c *Call) try(s *Server, timeout float64) {
+	now := c.x.Clock.Now()
+	until := c.deadline
+	if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	c.attempt = Attempt{No: c.sends, Server: *s, SentAt: now, Until: until}
+	c.attempt.Server.now = s
+	c.state, c.out, c.begun, c.canceled, c.remote = Trying, true, false, false, nil
+	c.sends++
+	c.x.servers.Try(c, c.attempt)
+}
+
+// end gives a call that is not up its final answer, once. The caller holds the lock.
+func (c *Call) end(a Answer) {
+	if c.state == Up || c.state == Ended {
+		return
+	}
+	if a.Cause == decide.OK { // then what the last attempt met
+		a.Cause = c.answer.Cause
+	}
+	c.state, c.answer = Ended, a
+	close(c.settled)
+	if c.out && c.remote != nil {
+		c.remote.Close(Clean)
+	}
+	c.drop()
+	c.client.Wake()
+}
+
+// drop forgets a call that is over on both sides.
+func (c *Call) drop() {
+	if c.state == Ended && !c.out {
+		delete(c.x.calls, c.ID)
+	}
+}
+
+// send does what the module wants: one more attempt. What the rules forbid is never sent.
+func (x *Exchange) send(id decide.RequestID, to decide.Backend, timeout float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.calls[id]
+	if c == nil || c.state != Held || c.out || x.site.Settings.MaxAttempts > 0 && c.sends >= x.site.Settings.MaxAttempts ||
+		int(to) >= len(x.roster.servers) || c.mayRun && x.site.Settings.Classes[c.Class].Effect == decide.Unsafe {
+		x.post(decide.Outcome{ID: id, Backend: to, Status: decide.Moot, Closed: c == nil || c.state != Held, Report: decide.NoReport})
+		return
+	}
+	c.try(x.roster.servers[to], timeout)
+}
+
+// finish gives a request the module's final answer. It comes too late for one that is up or ended.
+func (x *Exchange) finish(id decide.RequestID, a Answer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c := x.calls[id]; c != nil {
+		c.end(a)
+	}
+}
+
+// overdue is the backstop behind the module: a request that has no answer well after its deadline fails.
+func (x *Exchange) overdue(id decide.RequestID) (late bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.calls[id]
+	if c == nil || c.state == Up || c.state == Ended {
+		return false
+	}
+	x.post(decide.Gone{ID: id})
+	c.end(Answer{Kind: Failed, Cause: decide.TimedOut})
+	return true
+}
+
+// move asks the server side to send a client away politely.
+func (x *Exchange) move(id decide.RequestID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c := x.calls[id]; c != nil {
+		c.move()
+	}
+}
+
+func (c *Call) move() {
+	if c.state == Up && !c.moving {
+		c.moving = true
+		c.remote.Wake()
+	}
+}
+
+// cancel stops the wait for an attempt.
+func (x *Exchange) cancel(id decide.RequestID, no int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c := x.calls[id]; c != nil && c.state == Trying && c.attempt.No == no {
+		c.canceled = true
+		if c.remote != nil {
+			c.remote.Close(Clean)
+		}
+	}
+}
+
+// The client side's methods.
+
+// Settled is closed once the call is up or ended.
+func (c *Call) Settled() <-chan struct{} { return c.settled }
+
+// State is where the call stands, with the final answer if it ended without coming up.
+func (c *Call) State() (State, Answer) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	return c.state, c.answer
+}
+
+// Remote is the server side's end of a call that is up, else nil.
+func (c *Call) Remote() Remote {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Up {
+		return nil
+	}
+	return c.remote
+}
+
+// Leave says that the client has ended its side. The server's side is ended in the same way.
+func (c *Call) Leave(how Ending) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	switch c.state {
+	case Held, Trying:
+		if !c.resumed {
+			c.x.post(decide.Gone{ID: c.ID})
+		}
+		c.end(Answer{Kind: NoAnswer})
+	case Up:
+		c.state = Ended
+		c.remote.Close(how)
+	}
+}
+
+// Asked says that a line went to the server; see Heard.
+func (c *Call) Asked() {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.asked == 0 {
+		c.asked = c.x.Clock.Now()
+	}
+}
+
+// The server side's methods. Each names the attempt it speaks for.
+
+// Attach makes the attempt's end known, before it dials. It is false if the attempt is wanted no more.
+func (c *Call) Attach(no int, r Remote) bool {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Trying || c.attempt.No != no || c.canceled {
+		return false
+	}
+	c.remote = r
+	return true
+}
+
+// Begin is asked just before the attempt's first byte is written. It is false if the server has begun to
+// drain meanwhile (rule 3: half a second after the news nothing new may go there, and a dial can take that
+// long), or if the attempt is wanted no more: then nothing may be written.
+func (c *Call) Begin(no int) bool {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Trying || c.attempt.No != no || c.canceled || c.x.Clock.Now() >= c.attempt.Until {
+		return false
+	}
+	if !c.resumed && c.attempt.listed().mode != decide.Ready {
+		return false
+	}
+	c.begun = true
+	return true
+}
+
+// Draining tells whether the attempt's server has begun to drain.
+func (c *Call) Draining() bool {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	return c.attempt.listed().mode != decide.Ready
+}
+
+// Up says that the server has taken the connection. It returns the client's end, or nil if the client
+// has left meanwhile; then the attempt is to be ended.
+func (c *Call) Up(no int) Client {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Trying || c.attempt.No != no || c.canceled {
+		return nil
+	}
+	c.state = Up
+	close(c.settled)
+	if c.resumed {
+		c.x.post(decide.Inherited{Request: c.request(), Backend: c.attempt.Server.Number})
+	} else {
+		c.x.post(decide.Opened{ID: c.ID, Attempt: no, Backend: c.attempt.Server.Number,
+			Took: Duration(c.x.Clock.Now() - c.attempt.SentAt)})
+	}
+	if c.x.leaving {
+		c.move()
+	}
+	return c.client
+}
+
+// Moving tells whether the client is to be sent away, and whether that is because the server is silent.
+func (c *Call) Moving() (moving, silent bool) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	return c.moving, c.silent
+}
+
+// Over ends the attempt, exactly once, after its connection has been closed. Before the call is up it goes
+// back to the module; after that it is the end of the call.
+func (c *Call) Over(no int, status decide.Status, report decide.Report) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if !c.out || c.attempt.No != no {
+		return
+	}
+	c.out = false
+	if c.canceled || c.state == Ended { // whatever it met, it was called off
+		if status != decide.Moot && status != decide.ConnectFailed {
+			status = decide.Cancelled
+		}
+	}
+	c.mayRun = c.mayRun || !status.NeverRan()
+	switch c.state {
+	case Trying:
+		c.state = Held
+	case Up:
+		c.state = Ended
+	}
+	if c.resumed && c.state == Held { // the module does not know it yet
+		c.end(Answer{Kind: Failed, Cause: status})
+		return
+	}
+	if c.state == Held {
+		c.answer.Cause = status
+	}
+	c.x.post(decide.Outcome{ID: c.ID, Attempt: no, Backend: c.attempt.Server.Number, Status: status, Report: report,
+		Took: Duration(c.x.Clock.Now() - c.attempt.SentAt), Closed: c.state == Ended})
+	c.drop()
+}
+
+// Heard says that a line came back from the server. What the oldest unanswered line waited for it is the
+// time a message takes there now; the module is told when that is over a third of the shortest aim, and
+// at most once a second for each server.
+func (c *Call) Heard() {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.asked != 0 {
+		c.note(c.x.Clock.Now() - c.asked)
+		c.asked = 0
+	}
+}
+
+func (c *Call) note(delay float64) {
+	shortest := c.x.site.Settings.Classes[c.Class].Message
+	for _, class := range c.x.site.Settings.Classes {
+		if class.Message > 0 {
+			shortest = min(shortest, class.Message)
+		}
+	}
+	now, s := c.x.Clock.Now(), c.attempt.listed()
+	if c.x.site.Settings.TellsDelay && delay > Millis(shortest)/3 && now-s.notedAt >= 1000 {
+		s.notedAt = now
+		c.x.post(decide.DelayNote{ID: c.ID, Backend: s.Number, Delay: Duration(delay)})
+	}
+}
+
+// Load says that the server has told the connection's load, in microseconds of work a second.
+func (c *Call) Load(x float64) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	c.x.post(decide.LoadNote{ID: c.ID, Backend: c.attempt.Server.Number, Load: x / 1e6})
+}
+
+const (
+	lateAfter   = 500.0  // an unanswered line is told to the module as a slow message after this
+	silentAfter = 4500.0 // and its connection is taken for silent: at 7 s it would be lost
+)
+
+// sweep looks for connections whose server brings nothing back. TCP says nothing when a machine vanishes,
+// so the lines that came without an answer are all there is to go by.
+func (x *Exchange) sweep() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.Clock.Now()
+	for _, c := range x.calls {
+		if c.state != Up || c.asked == 0 || now-c.asked < lateAfter {
+			continue
+		}
+		c.note(now - c.asked)
+		if now-c.asked >= silentAfter {
+			c.silent = true
+			c.move()
+		}
+	}
+}
+
+// Drain makes the relay leave: what comes is refused, what comes up is moved at once.
+func (x *Exchange) Drain() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.leaving = true
+}
+
+// MoveSome moves up to n open calls and returns how many calls there still are.
+func (x *Exchange) MoveSome(n int) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.calls {
+		if n > 0 && c.state == Up && !c.moving {
+			c.move()
+			n--
+		}
+	}
+	return len(x.calls)
+}
+
+// FailAll gives every call that has none its final answer, at the end of a relay's life.
+func (x *Exchange) FailAll() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.calls {
+		c.end(Answer{Kind: Refused})
+	}
+}
--- /dev/null
+++ b/internal/memory/site.go
@@ -0,0 +1,76 @@
+package memory
+
+import (
+	"hash/fnv"
+
+	"capersail/decide"
+)
+
+// Site is what a relay is configured with: the module's settings, and the numbers that stand for names.
+type Site struct {
+	Settings decide.Settings
+	Classes  map[string]decide.Class
+	Tenants  map[string]decide.Tenant
+	Zones    map[string]decide.Zone
+	LoadKey  string // the report field that tells load over capacity
+}
+
+// Spot is the number that stands for a server's id at every relay.
+func Spot(id string) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(id))
+	return sum.Sum64()
+}
+
+// Listed is one line of the list of servers, in names.
+type Listed struct {
+	ID      string
+	Address string
+	Zone    string
+	Cell    int32
+	Mode    decide.Mode
+	Started float64 // Unix time in milliseconds, 0 for long ago
+}
+
+// Server is one server as the server side needs it.
+type Server struct {
+	Number  decide.Backend
+	ID      string
+	Address string
+	mode    decide.Mode
+	notedAt float64 // when the module was last told of a slow message there
+	now     *Server // the roster's own, of which an attempt holds a copy
+}
+
+// roster turns names into the module's numbers and holds the newest list. The Exchange guards it.
+type roster struct {
+	site    *Site
+	clock   *Clock
+	byID    map[string]*Server
+	servers []*Server // by number; a server keeps its number for this relay's life
+}
+
+// take writes a list into the roster and returns it in the module's numbers.
+func (r *roster) take(kind decide.ListKind, list []Listed) decide.Members {
+	if kind != decide.Delta && kind != decide.Failed { // who is not in a whole list is gone
+		for _, s := range r.servers {
+			s.mode = decide.GoneMode
+		}
+	}
+	m := decide.Members{Kind: kind}
+	for _, l := range list {
+		s := r.byID[l.ID]
+		if s == nil {
+			s = &Server{Number: decide.Backend(len(r.servers)), ID: l.ID}
+			r.byID[l.ID] = s
+			r.servers = append(r.servers, s)
+		}
+		s.mode = l.Mode
+		if l.Address != "" { // an entry that says Gone may come without one
+			s.Address = l.Address
+		}
+		m.Entries = append(m.Entries, decide.Entry{Backend: s.Number, Mode: l.Mode, Zone: r.site.Zones[l.Zone],
+			Cell: l.Cell, Spot: Spot(l.ID), Since: Duration(r.clock.FromUnix(l.Started))})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/wire/discovery/discovery.go
@@ -0,0 +1,274 @@
+// Package discovery watches the platform's list of servers: HTTP/1.1 over net and bufio, JSON lines in a
+// chunked answer.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fastjson"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+)
+
+const (
+	connectWithin = 1000.0
+	headWithin    = 4000.0  // discovery works through calls in turn; one that waited too long ends with 503
+	quietWithin   = 5000.0  // a watch brings a line at least every 2 s; what it has to tell counts after 6 s
+	maxList       = 8 << 20 // bytes of one list
+	maxLine       = 4096    // of a head
+)
+
+// List is what discovery knew at some time.
+type List struct {
+	Version int64
+	Full    bool
+	Entries []memory.Listed
+}
+
+// Client asks discovery. The module says when; it also draws the jittered wait after a failed call.
+type Client struct {
+	Address string
+	X       *memory.Exchange
+	Log     zerolog.Logger
+
+	asks chan bool // true for a watch, false for the whole list
+}
+
+// NewClient returns a client that holds the list as it was at version.
+func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
+	return &Client{Address: address, X: x, Log: log, asks: make(chan bool, 8)}
+}
+
+// Watch asks for changes from now on.
+func (c *Client) Watch() { c.ask(true) }
+
+// Fetch asks for the whole list once.
+func (c *Client) Fetch() { c.ask(false) }
+
+func (c *Client) ask(watch bool) {
+	select {
+	case c.asks <- watch:
+	default: // so many calls wait already that one more brings nothing new; each is answered once
+		go c.X.Members(decide.Failed, nil)
+	}
+}
+
+// Run carries calls out, one after the other, until the context ends. version is that of the list held.
+func (c *Client) Run(ctx context.Context, version int64) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case watch := <-c.asks:
+			path := "/v1/endpoints"
+			if watch {
+				path = fmt.Sprintf("/v1/endpoints?watch=1&after=%d", version)
+			}
+			err := c.call(ctx, path, &version)
+			if ctx.Err() != nil {
+				return
+			}
+			if watch || err != nil {
+				c.Log.Info().Err(err).Bool("watch", watch).Msg("discovery call ended")
+				c.X.Members(decide.Failed, nil)
+			}
+		}
+	}
+}
+
+// call makes one call and takes in every list that it brings.
+func (c *Client) call(ctx context.Context, path string, version *int64) error {
+	d := net.Dialer{Timeout: memory.Duration(connectWithin)}
+	conn, err := d.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	within := func(ms float64) { conn.SetDeadline(c.X.Clock.Wall(c.X.Clock.Now() + ms)) }
+	within(headWithin)
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, c.Address); err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	r := bufio.NewReaderSize(conn, maxLine)
+	body, err := head(r)
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewReaderSize(body, 64<<10)
+	for {
+		within(quietWithin)
+		line, err := readLine(lines)
+		if text := strings.TrimSpace(string(line)); text != "" {
+			list, err := Parse(text, c.Log)
+			if err != nil {
+				return err
+			}
+			*version = list.Version
+			kind := decide.Delta
+			if list.Full {
+				kind = decide.Whole
+			}
+			c.X.Members(kind, list.Entries)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+	}
+}
+
+// readLine reads a line of at most maxList bytes.
+func readLine(r *bufio.Reader) (line []byte, err error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxList {
+			return nil, errors.New("a list over the bound")
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// head reads an answer's status and fields and returns its body.
+func head(r *bufio.Reader) (io.Reader, error) {
+	next := func() (string, error) {
+		line, err := r.ReadSlice('\n')
+		return strings.TrimRight(string(line), "\r\n"), err
+	}
+	status, err := next()
+	if err != nil {
+		return nil, fmt.Errorf("status line: %w", err)
+	}
+	parts := strings.SplitN(status, " ", 3)
+	if len(parts) < 2 || !strings.HasPrefix(parts[0], "HTTP/1.") {
+		return nil, fmt.Errorf("status line %.60q", status)
+	}
+	if parts[1] != "200" {
+		return nil, fmt.Errorf("discovery answered %s", parts[1])
+	}
+	length, chunked := int64(math.MaxInt64), false
+	for n := 0; ; n++ {
+		line, err := next()
+		if err != nil || n > 100 {
+			return nil, fmt.Errorf("head: %d fields: %w", n, err)
+		}
+		if line == "" {
+			break
+		}
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "content-length":
+			if length, err = strconv.ParseInt(value, 10, 64); err != nil || length < 0 {
+				return nil, fmt.Errorf("content-length %.40q", value)
+			}
+		case "transfer-encoding":
+			chunked = strings.EqualFold(value, "chunked")
+		}
+	}
+	if chunked {
+		return &chunks{r: r}, nil
+	}
+	return io.LimitReader(r, length), nil
+}
+
+// chunks reads a chunked body.
+type chunks struct {
+	r    *bufio.Reader
+	left int64 // of the present chunk
+	open bool  // its end has not been read
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	for c.left == 0 {
+		if c.open {
+			if _, err := c.r.ReadSlice('\n'); err != nil {
+				return 0, cut(err)
+			}
+			c.open = false
+		}
+		line, err := c.r.ReadSlice('\n')
+		if err != nil {
+			return 0, cut(err)
+		}
+		size, _, _ := strings.Cut(strings.TrimSpace(string(line)), ";")
+		if c.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || c.left < 0 {
+			return 0, fmt.Errorf("chunk size %.40q", size)
+		}
+		if c.left == 0 {
+			return 0, io.EOF
+		}
+		c.open = true
+	}
+	n, err := c.r.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	return n, cut(err)
+}
+
+// cut marks an end in the middle of a body, which is no clean one.
+func cut(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Parse reads one list, as discovery sends it or as a relay's configuration holds it. An entry that makes
+// no sense is logged and skipped: one bad line must not hide the news about all other servers.
+func Parse(text string, log zerolog.Logger) (*List, error) {
+	v, err := fastjson.Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject || v.GetArray("instances") == nil && v.Exists("instances") {
+		return nil, fmt.Errorf("list: not an object with instances")
+	}
+	list := &List{Version: v.GetInt64("generation"), Full: v.GetBool("reset")}
+	for _, e := range v.GetArray("instances") {
+		if l, err := entry(e); err != nil {
+			log.Warn().Err(err).Str("entry", e.String()).Msg("bad entry in the list; skipped")
+		} else {
+			list.Entries = append(list.Entries, l)
+		}
+	}
+	return list, nil
+}
+
+func entry(e *fastjson.Value) (memory.Listed, error) {
+	l := memory.Listed{ID: string(e.GetStringBytes("instanceId")), Address: string(e.GetStringBytes("hostPort")),
+		Zone: string(e.GetStringBytes("zone")), Cell: int32(e.GetInt("cell")), Started: e.GetFloat64("startedAtMs")}
+	if l.ID == "" {
+		return l, fmt.Errorf("instanceId is missing")
+	}
+	switch mode := string(e.GetStringBytes("lifecycle")); mode {
+	case "Ready":
+		l.Mode = decide.Ready
+	case "Terminating":
+		l.Mode = decide.Draining
+	case "Gone":
+		l.Mode = decide.GoneMode
+	default:
+		return l, fmt.Errorf("lifecycle %q", mode)
+	}
+	if l.Mode != decide.GoneMode {
+		if _, _, err := net.SplitHostPort(l.Address); err != nil {
+			return l, fmt.Errorf("hostPort: %w", err)
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/wire/platform/line.go
@@ -0,0 +1,279 @@
+// Package platform speaks the platform's protocol: lines of text over TCP, with clients on one side and
+// servers on the other. The two sides meet only in the Exchange.
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+)
+
+// maxLine is the longest line the protocol knows, its end included.
+const maxLine = 4096
+
+// writeWithin bounds every write: a peer that takes nothing for so long has its connection ended.
+const writeWithin = 1000.0
+
+// lingerFor is how long a connection that was ended cleanly waits for the other end. Closing one with
+// unread bytes makes the kernel send a reset, which can overtake and destroy the last line written.
+const lingerFor = 500.0
+
+var errTooLong = errors.New("line over 4 KiB")
+
+// lines reads lines from a connection. A read that a deadline cuts short loses nothing.
+type lines struct {
+	r     *bufio.Reader
+	carry []byte
+}
+
+func newLines(conn net.Conn) *lines { return &lines{r: bufio.NewReaderSize(conn, maxLine)} }
+
+// next returns the next line, its end included, valid until the next call. With errTooLong it returns the
+// part of a longer one that has come so far; the rest follows as if it were a line.
+func (l *lines) next() ([]byte, error) {
+	part, err := l.r.ReadSlice('\n')
+	switch {
+	case err == nil && len(l.carry) == 0:
+		return part, nil
+	case err == nil:
+		line := append(l.carry, part...)
+		l.carry = l.carry[:0]
+		return line, nil
+	case errors.Is(err, bufio.ErrBufferFull) || len(l.carry)+len(part) > maxLine:
+		line := append(l.carry, part...)
+		l.carry = l.carry[:0]
+		return line, errTooLong
+	}
+	l.carry = append(l.carry, part...)
+	return nil, err
+}
+
+// word splits a line into its first word and the rest, without its end.
+func word(line []byte) (first, rest string) {
+	first, rest, _ = strings.Cut(string(bytes.TrimRight(line, "\r\n")), " ")
+	return first, rest
+}
+
+// report reads a load report, `x0=0.61,qps=33`. loadKey names the field that tells load over capacity.
+func report(text, loadKey string) decide.Report {
+	r := decide.NoReport
+	for _, field := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x < 1e12) {
+			continue
+		}
+		switch {
+		case name == loadKey:
+			r.Load = x
+		case name == "inflight" || name == "rif":
+			r.Inflight = x
+		case name == "eps" || name == "fail_rate":
+			r.Errors = x
+		case name == "util" || name == "busy":
+			r.Busy = x
+		}
+	}
+	return r
+}
+
+// end is one connection's end of a call, for the other side's goroutine and the core loop. A sticky wake
+// makes a pending read return at once; a write never waits longer than writeWithin.
+type end struct {
+	mu     sync.Mutex
+	conn   net.Conn // nil while it is dialled
+	clock  *memory.Clock
+	stop   func() // ends the dial
+	woken  bool
+	closed bool
+}
+
+// attach gives the end its connection once it is dialled; false if it was closed meanwhile.
+func (e *end) attach(conn net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn = conn
+	return !e.closed
+}
+
+// until sets when a pending read returns at the latest, unless the end has been woken already; 0 is never.
+func (e *end) until(at float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.woken || e.closed:
+	case at == 0:
+		e.conn.SetReadDeadline(time.Time{})
+	default:
+		e.conn.SetReadDeadline(e.clock.Wall(at))
+	}
+}
+
+// over tells whether the end has been closed: by its call's other side, or because the attempt is called off.
+func (e *end) over() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.closed
+}
+
+// rest lets reads wait again after a wake.
+func (e *end) rest() {
+	e.mu.Lock()
+	e.woken = false
+	e.mu.Unlock()
+}
+
+// Wake makes the goroutine that reads the connection look at its call.
+func (e *end) Wake() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.woken = true
+	if e.conn != nil && !e.closed {
+		e.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Pass writes to the connection.
+func (e *end) Pass(p []byte) error {
+	e.conn.SetWriteDeadline(e.clock.Wall(e.clock.Now() + writeWithin))
+	_, err := e.conn.Write(p)
+	return err
+}
+
+// Close ends the connection: cleanly, with a bounded wait for the peer's end, or with a reset. The
+// goroutine that reads the connection closes it for good.
+func (e *end) Close(how memory.Ending) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
+	e.closed = true
+	if e.stop != nil {
+		e.stop()
+	}
+	tcp, ok := e.conn.(*net.TCPConn)
+	switch {
+	case e.conn == nil:
+	case ok && how == memory.Clean:
+		tcp.CloseWrite()
+		tcp.SetReadDeadline(e.clock.Wall(e.clock.Now() + lingerFor))
+	default:
+		if ok {
+			tcp.SetLinger(0)
+		}
+		e.conn.Close()
+	}
+}
+
+// drain throws away what still comes, until the peer's end or the bounded wait, then closes for good.
+func (e *end) drain() {
+	e.Close(memory.Clean)
+	io.Copy(io.Discard, io.LimitReader(e.conn, 1<<20))
+	e.conn.Close()
+}
+
+// ending tells a clean end from a break.
+func ending(err error) memory.Ending {
+	if errors.Is(err, io.EOF) {
+		return memory.Clean
+	}
+	return memory.Broken
+}
+
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// opening is a client's first line, taken apart. Its text goes on to the server unchanged but for d.
+type opening struct {
+	before, after string // the line around the figure of d
+	class, tenant string
+	key, group    uint64
+	hint, left    float64
+	returned      bool
+	at            string // the server that held the connection before the run
+}
+
+// parseOpening reads `OPEN id key name=value,...`. Whatever is not of that form is never sent on: a server
+// would answer SYNTAX.
+func parseOpening(line []byte) (*opening, error) {
+	text := strings.TrimRight(string(line), "\r\n")
+	parts := strings.Split(text, " ")
+	if len(parts) != 4 || parts[0] != "OPEN" || parts[1] == "" || parts[2] == "" {
+		return nil, fmt.Errorf("not of the form OPEN id key fields")
+	}
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] == 0x7f {
+			return nil, fmt.Errorf("control character")
+		}
+	}
+	o := &opening{key: number(parts[2])}
+	at := len(text) - len(parts[3])
+	for _, field := range strings.Split(parts[3], ",") {
+		name, value, ok := strings.Cut(field, "=")
+		if !ok || name == "" || value == "" {
+			return nil, fmt.Errorf("field %q is not name=value", field)
+		}
+		var err error
+		switch name {
+		case "c":
+			o.class = value
+		case "t":
+			o.tenant = value
+		case "d":
+			o.before, o.after = text[:at+2], text[at+len(field):]
+			if o.left, err = strconv.ParseFloat(value, 64); err != nil || !(o.left > 0 && o.left < 1e9) {
+				return nil, fmt.Errorf("d=%q is not a time to wait", value)
+			}
+		case "g":
+			o.group = number(value)
+		case "h":
+			if o.hint, err = strconv.ParseFloat(value, 64); err != nil || !(o.hint >= 0 && o.hint < 1e12) {
+				return nil, fmt.Errorf("h=%q is not a load", value)
+			}
+		case "r", "again":
+			o.returned = o.returned || value != "0"
+		case "at":
+			o.at = value
+		}
+		at += len(field) + 1
+	}
+	switch {
+	case o.class == "":
+		return nil, fmt.Errorf("c is missing")
+	case o.before == "" && o.at == "":
+		return nil, fmt.Errorf("d is missing")
+	case o.before == "": // a connection from before the run may wait as long as the rules let it
+		o.before, o.left = text, resumeWithin
+	}
+	return o, nil
+}
+
+// resumeWithin is how long a connection from before the run may take to come up.
+const resumeWithin = 40_000.0
+
+// line is the opening as it goes on to a server that is given left milliseconds.
+func (o *opening) line(left float64) []byte {
+	if !strings.HasSuffix(o.before, "d=") {
+		return []byte(o.before + "\r\n")
+	}
+	return []byte(o.before + strconv.Itoa(max(1, int(left))) + o.after + "\r\n")
+}
+
+// number reads the hexadecimal figures of keys and groups; any other text stands for a number too.
+func number(text string) uint64 {
+	if x, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return x
+	}
+	return memory.Spot(text)
+}
--- /dev/null
+++ b/internal/wire/platform/server.go
@@ -0,0 +1,261 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+)
+
+// probeWithin is how long a probe's answer is waited for. It tells a silent machine from a slow one.
+const probeWithin = 200.0
+
+// Servers is the server side: it dials, passes lines back, classifies how attempts end, and probes.
+type Servers struct {
+	Clock          *memory.Clock
+	ConnectTimeout float64
+	LoadKey        string
+
+	mu      sync.Mutex
+	probers map[decide.Backend]chan probe
+}
+
+// dial connects. Keep-alive stays off: it notices nothing that the protocol's own lines do not.
+func dial(ctx context.Context, addr string, within float64) (net.Conn, error) {
+	d := net.Dialer{Timeout: memory.Duration(max(within, 1)), KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Try makes one attempt in a goroutine of its own.
+func (s *Servers) Try(c *memory.Call, a memory.Attempt) { go s.try(c, a) }
+
+func (s *Servers) try(c *memory.Call, a memory.Attempt) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	e := &end{clock: s.Clock, stop: stop}
+	if !c.Attach(a.No, e) {
+		c.Over(a.No, decide.Moot, decide.NoReport)
+		return
+	}
+	within := a.Until - s.Clock.Now()
+	if s.ConnectTimeout > 0 {
+		within = min(within, s.ConnectTimeout)
+	}
+	conn, err := dial(ctx, a.Server.Address, within)
+	if err != nil {
+		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
+		return
+	}
+	defer conn.Close()
+	if !e.attach(conn) || !c.Begin(a.No) {
+		conn.Close() // the server is to see the end before the module hears of it and may send elsewhere
+		c.Over(a.No, decide.Moot, decide.NoReport)
+		return
+	}
+	status, load := s.converse(c, a, e)
+	// Before the outcome is told: a timed-out attempt that still stands while the next one is sent is a
+	// second copy.
+	e.Close(memory.Clean)
+	conn.Close()
+	c.Over(a.No, status, load)
+}
+
+// converse sends the first line and follows the connection to its end, for PROTOCOL's table.
+func (s *Servers) converse(c *memory.Call, a memory.Attempt, e *end) (decide.Status, decide.Report) {
+	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now())) != nil {
+		return decide.ConnectFailed, decide.NoReport
+	}
+	in := newLines(e.conn)
+	for {
+		e.until(a.Until)
+		line, err := in.next()
+		if timedOut(err) {
+			if e.over() {
+				return decide.Cancelled, decide.NoReport
+			}
+			if s.Clock.Now() < a.Until {
+				e.rest() // its server has begun to drain: what was sent in time goes on
+				continue
+			}
+			return decide.TimedOut, decide.NoReport
+		}
+		if err != nil {
+			return decide.Reset, decide.NoReport
+		}
+		switch first, rest := word(line); first {
+		case "UP":
+			return s.carry(c, a, e, in, line)
+		case "BUSY":
+			return decide.Full, report(rest, s.LoadKey)
+		case "BYE":
+			return decide.OK, report(rest, s.LoadKey)
+		case "MOVE":
+			return decide.Cancelled, decide.NoReport
+		default:
+			return decide.Errored, report(rest, s.LoadKey)
+		}
+	}
+}
+
+// carry passes lines from the server to the client until one side ends, or the client is to be moved.
+// It alone writes to a client whose call is up, so MOVE always stands between two lines.
+func (s *Servers) carry(c *memory.Call, a memory.Attempt, e *end, in *lines, line []byte) (decide.Status, decide.Report) {
+	client := c.Up(a.No)
+	if client == nil {
+		return decide.Cancelled, decide.NoReport
+	}
+	e.until(0)
+	status, load, within := decide.Reset, decide.NoReport, false
+	for {
+		if err := client.Pass(line); err != nil {
+			client.Close(memory.Broken) // a client that takes nothing for a second has left
+			return decide.Cancelled, load
+		}
+		var err error
+		if line, err = in.next(); len(line) > 0 {
+			if !within {
+				status, load = s.heard(c, line)
+			}
+			within = line[len(line)-1] != '\n' // the rest of a line over 4 KiB is no line of its own
+			continue
+		}
+		if timedOut(err) {
+			if e.over() { // the client has left, and the server took its time to end too
+				return decide.Cancelled, load
+			}
+			if moving, silent := c.Moving(); moving {
+				if within {
+					client.Close(memory.Broken)
+					return decide.Cancelled, load
+				}
+				client.Pass([]byte("MOVE\r\n"))
+				client.Close(memory.Clean)
+				if silent {
+					return decide.Reset, load
+				}
+				return decide.Cancelled, load
+			}
+			e.rest()
+			e.until(0)
+			line = nil
+			continue
+		}
+		client.Close(ending(err))
+		return status, load
+	}
+}
+
+// heard looks at a line on its way to the client. It returns what the connection's end would mean now.
+func (s *Servers) heard(c *memory.Call, line []byte) (decide.Status, decide.Report) {
+	switch first, rest := word(line); first {
+	case "LOAD":
+		if x, err := strconv.ParseFloat(rest, 64); err == nil && x >= 0 {
+			c.Load(x)
+		}
+	case "BYE":
+		return decide.OK, report(rest, s.LoadKey)
+	case "MOVE":
+		return decide.Cancelled, decide.NoReport
+	default:
+		c.Heard()
+	}
+	return decide.Reset, decide.NoReport
+}
+
+// probe is one question for a prober.
+type probe struct {
+	address string
+	done    func(decide.Status, decide.Report)
+}
+
+// Probe asks a server for its load, on a connection that is kept from one probe to the next.
+func (s *Servers) Probe(to memory.Server, done func(decide.Status, decide.Report)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.probers == nil {
+		s.probers = map[decide.Backend]chan probe{}
+	}
+	ask := s.probers[to.Number]
+	if ask == nil {
+		ask = make(chan probe, 4)
+		s.probers[to.Number] = ask
+		go s.prober(ask)
+	}
+	select {
+	case ask <- probe{to.Address, done}:
+	default: // the module never asks again so soon; if it does, nothing was sent
+		go done(decide.Moot, decide.NoReport)
+	}
+}
+
+// prober owns the kept connection to one server.
+func (s *Servers) prober(asks <-chan probe) {
+	var k kept
+	for p := range asks {
+		if k.conn != nil && k.address != p.address {
+			k.drop()
+		}
+		until := s.Clock.Now() + probeWithin
+		old := k.conn != nil
+		status, load, err := s.ask(&k, p.address, until)
+		if err != nil && old && !timedOut(err) { // it was closed while idle: that says nothing of the server
+			status, load, _ = s.ask(&k, p.address, until)
+		}
+		p.done(status, load)
+	}
+}
+
+// kept is a connection kept for probes.
+type kept struct {
+	conn    net.Conn
+	in      *lines
+	address string
+}
+
+func (k *kept) drop() {
+	if k.conn != nil {
+		k.conn.Close()
+	}
+	k.conn = nil
+}
+
+// ask puts one question. After any error the connection is dropped.
+func (s *Servers) ask(k *kept, address string, until float64) (decide.Status, decide.Report, error) {
+	if k.conn == nil {
+		conn, err := dial(context.Background(), address, until-s.Clock.Now())
+		if err != nil {
+			var slow net.Error
+			if errors.As(err, &slow) && slow.Timeout() {
+				return decide.TimedOut, decide.NoReport, err
+			}
+			return decide.ConnectFailed, decide.NoReport, err
+		}
+		*k = kept{conn, newLines(conn), address}
+	}
+	k.conn.SetDeadline(s.Clock.Wall(until))
+	_, err := k.conn.Write([]byte("STATS\r\n"))
+	var line []byte
+	if err == nil {
+		line, err = k.in.next()
+	}
+	if err != nil {
+		k.drop()
+		if timedOut(err) {
+			return decide.TimedOut, decide.NoReport, err
+		}
+		return decide.Reset, decide.NoReport, err
+	}
+	switch first, rest := word(line); first {
+	case "PONG":
+		return decide.OK, report(rest, s.LoadKey), nil
+	case "BUSY":
+		return decide.Full, decide.NoReport, nil
+	case "NO":
+		return decide.Moot, decide.NoReport, nil
+	}
+	return decide.Errored, decide.NoReport, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,12 +7,21 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
+	"capersail/internal/memory"
 )
 
-// newNode starts an instance from its settings. Keys that are absent count as 0, unknown ones are skipped.
+// newNode starts an instance from its settings.
 func newNode(who int, seed uint64, p *fastjson.Value) *node {
-	n := &node{who: who, classes: map[string]decide.Class{}, tenants: map[string]decide.Tenant{},
-		zones: map[string]decide.Zone{}, jobs: map[string]*job{}, byID: map[decide.RequestID]*job{}}
+	site := DecodeSettings(p)
+	return &node{who: who, classes: site.Classes, tenants: site.Tenants, zones: site.Zones, loadKey: site.LoadKey,
+		jobs: map[string]*job{}, byID: map[decide.RequestID]*job{}, balance: decide.New(site.Settings, seed)}
+}
+
+// DecodeSettings reads the settings object, which the simulator's first message and a real relay's
+// configuration share. Keys that are absent count as 0, unknown ones are skipped.
+func DecodeSettings(p *fastjson.Value) *memory.Site {
+	n := &memory.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{},
+		Zones: map[string]decide.Zone{}}
 	set := decide.Settings{
 		Me:             p.GetInt("me"),
 		Relays:         p.GetInt("balancers"),
@@ -40,10 +49,10 @@
 		},
 	}
 	for i, z := range p.GetArray("areas") {
-		n.zones[string(z.GetStringBytes())] = decide.Zone(i)
+		n.Zones[string(z.GetStringBytes())] = decide.Zone(i)
 		set.Zones++
 	}
-	set.Zone = n.zones[string(p.GetStringBytes("zone"))]
+	set.Zone = n.Zones[string(p.GetStringBytes("zone"))]
 	messages := p.GetArray("specifics", "messageAimMs")
 	for i, c := range p.GetArray("classes") {
 		info := decide.ClassInfo{
@@ -66,9 +75,9 @@
 			info.Scope = decide.ScopeCell
 		}
 		if i < len(messages) {
-			info.Message = millis(messages[i].GetFloat64())
+			info.Message = memory.Duration(messages[i].GetFloat64())
 		}
-		n.classes[string(c.GetStringBytes("name"))] = decide.Class(i)
+		n.Classes[string(c.GetStringBytes("name"))] = decide.Class(i)
 		set.Classes = append(set.Classes, info)
 	}
 	quotas := p.GetArray("specifics", "tenantQuotaConnections")
@@ -77,7 +86,7 @@
 		if i < len(quotas) {
 			info.Quota = quotas[i].GetFloat64()
 		}
-		n.tenants[string(t.GetStringBytes("name"))] = decide.Tenant(i)
+		n.Tenants[string(t.GetStringBytes("name"))] = decide.Tenant(i)
 		set.Tenants = append(set.Tenants, info)
 	}
 	// Which report value tells load over capacity is said in words only.
@@ -86,11 +95,13 @@
 		"x1": string(p.GetStringBytes("specifics", "reportX1")),
 	} {
 		if strings.HasPrefix(meaning, "load") {
-			n.loadKey = key
+			n.LoadKey = key
 		}
 	}
-	n.balance = decide.New(set, seed)
+	n.Settings = set
 	return n
 }
 
-func span(p *fastjson.Value, keys ...string) time.Duration { return millis(p.GetFloat64(keys...)) }
+func span(p *fastjson.Value, keys ...string) time.Duration {
+	return memory.Duration(p.GetFloat64(keys...))
+}
