--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -529,3 +529,13 @@
 		c.end(Answer{Kind: Refused})
 	}
 }
+
+// Server looks a server up by its id.
+func (x *Exchange) Server(id string) (Server, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s := x.roster.byID[id]; s != nil {
+		return *s, true
+	}
+	return Server{}, false
+}
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -235,8 +235,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
-	if v.Type() != fastjson.TypeObject || v.GetArray("instances") == nil && v.Exists("instances") {
-		return nil, fmt.Errorf("list: not an object with instances")
+	// An empty array is a list too: a watch that has missed nothing begins with one. fastjson gives nil for
+	// it, as for no array at all, so the type is what counts.
+	if in := v.Get("instances"); v.Type() != fastjson.TypeObject || in != nil && in.Type() != fastjson.TypeArray {
+		return nil, fmt.Errorf("list: not an object with an array of instances")
 	}
 	list := &List{Version: v.GetInt64("generation"), Full: v.GetBool("reset")}
 	for _, e := range v.GetArray("instances") {
--- /dev/null
+++ b/internal/wire/discovery/discovery_test.go
@@ -0,0 +1,97 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+)
+
+const ready = `{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","lifecycle":"Ready"}`
+
+func TestParse(t *testing.T) {
+	cases := []struct {
+		name, in string
+		entries  int
+		fails    bool
+	}{
+		{"nothing has changed", `{"generation":3,"reset":false,"instances":[]}`, 0, false},
+		{"one", `{"generation":3,"reset":true,"instances":[` + ready + `]}`, 1, false},
+		{"gone without an address", `{"instances":[{"instanceId":"s-1","lifecycle":"Gone"}]}`, 1, false},
+		{"bad ones are skipped", `{"instances":[{"instanceId":7},{"lifecycle":"Ready"},3,` + ready + `,` +
+			`{"instanceId":"x","lifecycle":"Ready","hostPort":"nowhere"},{"instanceId":"x","lifecycle":"Odd"}]}`, 1, false},
+		{"not an array", `{"instances":7}`, 0, true},
+		{"not an object", `[]`, 0, true},
+		{"cut off", `{"instances":[`, 0, true},
+	}
+	for _, c := range cases {
+		list, err := Parse(c.in, zerolog.Nop())
+		if (err != nil) != c.fails || err == nil && len(list.Entries) != c.entries {
+			t.Errorf("%s: %+v, %v", c.name, list, err)
+		}
+	}
+}
+
+// A watch whose first line brings no change stays open; what comes later, however the chunks fall, counts.
+func TestWatch(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan string, 4)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		first, _ := r.ReadString('\n')
+		asked <- first
+		for line := first; strings.TrimSpace(line) != ""; line, _ = r.ReadString('\n') {
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		text := "{\"generation\":5,\"reset\":false,\"instances\":[]}\n\n{\"generation\":6,\"reset\":false,\"instances\":[" + ready + "]}\n"
+		for i := 0; i < len(text); i += 7 {
+			part := text[i:min(i+7, len(text))]
+			fmt.Fprintf(conn, "%x;x=y\r\n%s\r\n", len(part), part)
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}()
+	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	c := NewClient(l.Addr().String(), x, zerolog.Nop())
+	version := int64(4)
+	if err := c.call(context.Background(), "/v1/endpoints?watch=1&after=4", &version); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-asked; !strings.HasPrefix(got, "GET /v1/endpoints?watch=1&after=4 HTTP/1.1") {
+		t.Errorf("asked %q", got)
+	}
+	if s, ok := x.Server("s-1"); !ok || s.Number != 0 || version != 6 {
+		t.Errorf("the change was not taken in: %+v, %v, version %d", s, ok, version)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`{"generation":3,"reset":true,"instances":[` + ready + `]}`)
+	f.Add(`{"instances":[{}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		list, err := Parse(text, zerolog.Nop())
+		if err != nil {
+			return
+		}
+		for _, l := range list.Entries {
+			if l.ID == "" || l.Mode != decide.GoneMode && l.Address == "" {
+				t.Errorf("an entry without a name or an address came through: %+v", l)
+			}
+		}
+	})
+}
