Add the XMPP front: streams, ephemeral nodes, operator's file

The platform's front is unchanged but for the order of looks after a wake: a MOVE wanted between the look and the reset of the wake was lost until the server's next line (platform/server.go, carry).

--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
-	"os/signal"
-
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
@@ -31,6 +31,9 @@
 // limit fits the runtime into the machine: one core, and a heap that stays under the memory limit, which the
 // kernel enforces by killing the relay.
 func limit(c *Config) {
+	if c == nil {
+		return // the operator's machine is not the platform's
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(200)
 	if c.MemoryMB > 0 {
@@ -38,8 +41,24 @@
 	}
 }
 
-// Run serves until SIGTERM or SIGINT, then moves everyone, answers what is held, and returns.
-func Run(ctx context.Context, c *Config, log zerolog.Logger) error {
+// relay is one front with its core.
+type relay struct {
+	x        *memory.Exchange
+	listener net.Listener
+	failed   chan error
+	longest  float64 // the longest deadline of its classes
+}
+
+func longest(site *memory.Site) (ms float64) {
+	for _, class := range site.Settings.Classes {
+		ms = max(ms, memory.Millis(class.Deadline))
+	}
+	return ms
+}
+
+// Run serves until SIGTERM or SIGINT, then moves everyone, answers what is held, and returns. Either of
+// the two fronts may be absent.
+func Run(ctx context.Context, c *Config, o *Operator, log zerolog.Logger) error {
 	limit(c)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -47,6 +66,47 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 
+	var relays []*relay
+	failed := make(chan error, 2)
+	add := func(r *relay, err error) error {
+		if err != nil {
+			return err
+		}
+		relays = append(relays, r)
+		go func() { failed <- <-r.failed }()
+		return nil
+	}
+	if c != nil {
+		if err := add(startPlatform(ctx, c, log)); err != nil {
+			return err
+		}
+	}
+	if o != nil {
+		if err := add(startXMPP(ctx, o, log)); err != nil {
+			return fmt.Errorf("xmpp: %w", err)
+		}
+	}
+	select {
+	case s := <-signals:
+		log.Info().Str("signal", s.String()).Msg("leaving")
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("accept: %w", err)
+	}
+	var all sync.WaitGroup
+	for _, r := range relays {
+		all.Go(func() {
+			leave(r)
+			r.listener.Close()
+		})
+	}
+	all.Wait()
+	log.Info().Msg("done")
+	return nil
+}
+
+// startPlatform starts the platform's front.
+func startPlatform(ctx context.Context, c *Config, log zerolog.Logger) (*relay, error) {
 	// The simulator's note of slow messages has no line on the sockets: under a load of 1.3 the clients' own
 	// lines still come back within 0.3 ms. The module is to know that a reading is all it will get.
 	c.Site.Settings.TellsDelay = false
@@ -55,54 +115,38 @@
 	x := memory.NewExchange(c.Site, clock, servers)
 	x.Members(decide.Cached, c.Known.Entries)
 	lister := discovery.NewClient(c.Discovery, x, log)
-	core := memory.NewCore(x, c.Seed, lister, log)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	defer l.Close()
 	room := int64(1 << 20)
 	if c.Sockets > 0 {
 		room = int64(max(c.Sockets-spareSockets, 2) / 2)
 	}
 	front := &platform.Front{X: x, Site: c.Site, Log: log, Room: room}
 	go lister.Run(ctx, c.Known.Version)
-	go core.Run(ctx)
-	failed := make(chan error, 1)
-	go func() { failed <- front.Serve(l) }()
-	log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("servers", len(c.Known.Entries)).Msg("serving")
-	select {
-	case s := <-signals:
-		log.Info().Str("signal", s.String()).Msg("leaving")
-	case <-ctx.Done():
-	case err := <-failed:
-		return fmt.Errorf("accept: %w", err)
-	}
-	leave(x, c)
-	log.Info().Msg("done")
-	return nil
+	go memory.NewCore(x, c.Seed, lister, log).Run(ctx)
+	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(c.Site)}
+	go func() { r.failed <- front.Serve(l) }()
+	log.Info().Str("name", c.Name).Str("listen", l.Addr().String()).Int("servers", len(c.Known.Entries)).Msg("serving")
+	return r, nil
 }
 
 // leave goes on accepting, moves everyone, and sees that whatever is held has its answer before SIGKILL.
-func leave(x *memory.Exchange, c *Config) {
-	longest := 0.0
-	for _, class := range c.Site.Settings.Classes {
-		longest = max(longest, memory.Millis(class.Deadline))
-	}
-	longest = min(longest, 3000)
-	x.Drain()
-	began := x.Clock.Now()
-	pause := func(ms float64) { <-x.Clock.After(ms) }
-	left := x.MoveSome(0)
+func leave(r *relay) {
+	r.x.Drain()
+	began := r.x.Clock.Now()
+	pause := func(ms float64) { <-r.x.Clock.After(ms) }
+	left := r.x.MoveSome(0)
 	each := int(float64(left)*moveStep/moveOver) + 1
-	for x.Clock.Now() < began+longest+graceAfter {
-		left = x.MoveSome(each)
-		if left == 0 && x.Clock.Now() >= began+leastLeave {
-			break
+	for r.x.Clock.Now() < began+min(r.longest, 3000)+graceAfter {
+		left = r.x.MoveSome(each)
+		if left == 0 && r.x.Clock.Now() >= began+leastLeave {
+			return
 		}
 		pause(moveStep)
 	}
-	x.FailAll()
-	x.MoveSome(left)
-	pause(moveStep)
+	r.x.FailAll()
+	r.x.MoveSome(left)
+	pause(2 * moveStep)
 }
--- /dev/null
+++ b/internal/lifecycle/xmpp.go
@@ -0,0 +1,170 @@
+package lifecycle
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/wire/xmpp"
+	"capersail/internal/wire/zookeeper"
+)
+
+// Operator is the operator's file for the XMPP front.
+type Operator struct {
+	Listen      string `toml:"listen"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Plaintext   bool   `toml:"plaintext"`
+	Sockets     int    `toml:"sockets"`
+	Zone        string `toml:"zone"`
+	Zones       []string
+	Me          int     `toml:"me"`
+	Relays      int     `toml:"relays"`
+	SilentMs    float64 `toml:"silent_ms"`
+	ConnectMs   float64 `toml:"connect_ms"`
+	MaxRetryMs  float64 `toml:"max_retry_after_ms"`
+	ZooKeeper   struct {
+		Servers   []string
+		Path      string
+		SessionMs float64 `toml:"session_ms"`
+	}
+	Class []struct {
+		Name       string
+		SetupMs    float64 `toml:"setup_ms"`
+		DeadlineMs float64 `toml:"deadline_ms"`
+		Worth      float64
+	}
+	Host []struct {
+		To, Class, Tenant, Key string
+	}
+}
+
+// ReadOperator reads the operator's file. An error names the key.
+func ReadOperator(path string) (*Operator, error) {
+	o := &Operator{Relays: 1, SilentMs: 5000, ConnectMs: 1000, MaxRetryMs: 5000, Sockets: 1024}
+	meta, err := toml.DecodeFile(path, o)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, key := range meta.Undecoded() {
+		return nil, fmt.Errorf("%s: %s: unknown key", path, key)
+	}
+	classes := map[string]bool{}
+	for _, c := range o.Class {
+		if c.Name == "" || !(c.SetupMs > 0) || !(c.DeadlineMs >= c.SetupMs) {
+			return nil, fmt.Errorf("%s: class: name, setup_ms and a deadline_ms no shorter are wanted", path)
+		}
+		classes[c.Name] = true
+	}
+	for _, h := range o.Host {
+		if h.To == "" || !classes[h.Class] {
+			return nil, fmt.Errorf("%s: host.class: %q of host %q is no class of this file", path, h.Class, h.To)
+		}
+	}
+	bad := ""
+	_, _, address := net.SplitHostPort(o.Listen)
+	switch {
+	case address != nil:
+		bad = "listen: " + address.Error()
+	case o.Certificate == "" && !o.Plaintext:
+		bad = "certificate: not set, and plaintext is not allowed"
+	case (o.Certificate == "") != (o.Key == ""):
+		bad = "key: certificate and key go together"
+	case len(o.ZooKeeper.Servers) == 0:
+		bad = "zookeeper.servers: at least one is wanted"
+	case !strings.HasPrefix(o.ZooKeeper.Path, "/"):
+		bad = "zookeeper.path: a path from / on is wanted"
+	case !(o.ZooKeeper.SessionMs >= 100):
+		bad = "zookeeper.session_ms: 100 at least"
+	case len(o.Host) == 0:
+		bad = "host: at least one is wanted"
+	case !(o.SilentMs >= 100 && o.SilentMs <= 7000):
+		bad = "silent_ms: from 100 to 7000"
+	case !(o.ConnectMs > 0):
+		bad = "connect_ms: more than 0"
+	case o.Sockets < 2*spareSockets:
+		bad = fmt.Sprintf("sockets: %d at least", 2*spareSockets)
+	}
+	if bad != "" {
+		return nil, fmt.Errorf("%s: %s", path, bad)
+	}
+	return o, nil
+}
+
+// Site turns the file into the module's settings. Every class is Unsafe there: once a client's SASL bytes
+// have reached a server a lost set-up is final.
+func (o *Operator) Site() (*memory.Site, map[string]xmpp.Host) {
+	site := &memory.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{}, Zones: map[string]decide.Zone{}}
+	for i, z := range o.Zones {
+		site.Zones[z] = decide.Zone(i)
+	}
+	site.Settings = decide.Settings{Me: o.Me, Relays: o.Relays, Zone: site.Zones[o.Zone], Zones: len(o.Zones), MaxAttempts: 2,
+		Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(o.MaxRetryMs), ConnectTimeout: memory.Duration(o.ConnectMs),
+		Tick: memory.Duration(5), Ask: true, Rules: decide.Rules{AskWithin: memory.Duration(o.ZooKeeper.SessionMs)}}
+	deadlines := map[string]float64{}
+	for i, c := range o.Class {
+		site.Classes[c.Name] = decide.Class(i)
+		deadlines[c.Name] = c.DeadlineMs
+		site.Settings.Classes = append(site.Settings.Classes, decide.ClassInfo{Aim: memory.Duration(c.SetupMs),
+			Deadline: memory.Duration(c.DeadlineMs), Effect: decide.Unsafe, Worth: c.Worth})
+	}
+	hosts := map[string]xmpp.Host{}
+	for _, h := range o.Host {
+		tenant, known := site.Tenants[h.Tenant]
+		switch {
+		case h.Tenant == "":
+			tenant = decide.NoTenant
+		case !known:
+			tenant = decide.Tenant(len(site.Settings.Tenants))
+			site.Tenants[h.Tenant] = tenant
+			site.Settings.Tenants = append(site.Settings.Tenants, decide.TenantInfo{})
+		}
+		key := h.Key
+		if key == "" {
+			key = h.To
+		}
+		hosts[h.To] = xmpp.Host{Class: site.Classes[h.Class], Tenant: tenant, Key: memory.Spot(key), Left: deadlines[h.Class]}
+	}
+	for i := range site.Settings.Tenants {
+		site.Settings.Tenants[i].Share = 1 / float64(len(site.Settings.Tenants))
+	}
+	return site, hosts
+}
+
+// startXMPP starts the XMPP front with a core of its own.
+func startXMPP(ctx context.Context, o *Operator, log zerolog.Logger) (*relay, error) {
+	site, hosts := o.Site()
+	var secure *tls.Config
+	if o.Certificate != "" {
+		pair, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+		if err != nil {
+			return nil, fmt.Errorf("certificate: %w", err)
+		}
+		secure = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	}
+	clock := memory.NewClock()
+	servers := &xmpp.Servers{Clock: clock, ConnectTimeout: o.ConnectMs, ProbeTo: o.Host[0].To, Silent: o.SilentMs, Log: log}
+	x := memory.NewExchange(site, clock, servers)
+	lister := zookeeper.NewClient(o.ZooKeeper.Servers, o.ZooKeeper.Path, o.ZooKeeper.SessionMs, x, log)
+	x.Members(decide.Cached, nil)
+	lister.Watch() // there is no cached list to begin with
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	front := &xmpp.Front{X: x, Hosts: hosts, TLS: secure, Log: log, Room: int64(o.Sockets-spareSockets) / 2}
+	go lister.Run(ctx)
+	go memory.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
+	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(site)}
+	go func() { r.failed <- front.Serve(l) }()
+	log.Info().Str("listen", l.Addr().String()).Msg("serving XMPP")
+	return r, nil
+}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -79,6 +79,7 @@
 	Server Server
 	SentAt float64
 	Until  float64 // when the relay stops waiting
+	Last   float64 // when the client does
 }
 
 // Servers is the server side as the core sees it. Neither method may block.
@@ -206,7 +207,7 @@
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	c.attempt = Attempt{No: c.sends, Server: *s, SentAt: now, Until: until}
+	c.attempt = Attempt{No: c.sends, Server: *s, SentAt: now, Until: until, Last: c.deadline}
 	c.attempt.Server.now = s
 	c.state, c.out, c.begun, c.canceled, c.remote = Trying, true, false, false, nil
 	c.sends++
@@ -376,6 +377,26 @@
 	return true
 }
 
+// Dialogue is the client's end for a front whose set-up is a conversation, once the attempt has begun; nil
+// if the attempt is wanted no more.
+func (c *Call) Dialogue(no int) Client {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Trying || c.attempt.No != no || c.canceled {
+		return nil
+	}
+	return c.client
+}
+
+// Nudge wakes the server side, for which the client side has left something in what they share.
+func (c *Call) Nudge() {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.remote != nil && c.out {
+		c.remote.Wake()
+	}
+}
+
 // Draining tells whether the attempt's server has begun to drain.
 func (c *Call) Draining() bool {
 	c.x.mu.Lock()
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -30,6 +30,7 @@
 	Cell    int32
 	Mode    decide.Mode
 	Started float64 // Unix time in milliseconds, 0 for long ago
+	Load    float64 // load over capacity that the list itself tells, negative if it does not
 }
 
 // Server is one server as the server side needs it.
@@ -37,6 +38,7 @@
 	Number  decide.Backend
 	ID      string
 	Address string
+	Load    float64 // as the list told it last, negative if it does not
 	mode    decide.Mode
 	notedAt float64 // when the module was last told of a slow message there
 	now     *Server // the roster's own, of which an attempt holds a copy
@@ -65,7 +67,7 @@
 			r.byID[l.ID] = s
 			r.servers = append(r.servers, s)
 		}
-		s.mode = l.Mode
+		s.mode, s.Load = l.Mode, l.Load
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
 		}
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -12,6 +12,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/wire/link"
 )
 
 // firstLineWithin bounds how long a connection may stay without a first line, and holds a descriptor.
@@ -46,10 +47,10 @@
 // serve speaks with one client until its connection is closed.
 func (f *Front) serve(conn net.Conn, crowded bool) {
 	defer f.count.Add(-1)
-	e := &end{conn: conn, clock: f.X.Clock}
-	defer e.drain()
+	e := &link.End{Conn: conn, Clock: f.X.Clock}
+	defer e.Drain()
 	in := newLines(conn)
-	e.until(f.X.Clock.Now() + firstLineWithin)
+	e.Until(f.X.Clock.Now() + firstLineWithin)
 	for {
 		line, err := in.next()
 		if err != nil && !errors.Is(err, errTooLong) {
@@ -59,7 +60,7 @@
 			if e.Pass([]byte("PONG\r\n")) != nil {
 				return
 			}
-			e.until(f.X.Clock.Now() + firstLineWithin)
+			e.Until(f.X.Clock.Now() + firstLineWithin)
 			continue
 		}
 		if crowded { // the bound on descriptors: better a no at once than an accept that fails
@@ -72,7 +73,7 @@
 			e.Pass([]byte("ERR bad request\r\n"))
 			return
 		}
-		e.until(0)
+		e.Until(0)
 		var call *memory.Call
 		if at != "" {
 			call = f.X.Resume(ask, at, e)
@@ -107,7 +108,7 @@
 
 // follow reads the client until its end. Before the call is up a wake means an answer; after that the
 // server side writes to the client, and this goroutine only passes on what the client sends.
-func (f *Front) follow(call *memory.Call, e *end, in *lines) {
+func (f *Front) follow(call *memory.Call, e *link.End, in *lines) {
 	for {
 		line, err := in.next()
 		if len(line) > 0 {
@@ -123,22 +124,22 @@
 			}
 			continue
 		}
-		if timedOut(err) {
-			if state, _ := call.State(); state == memory.Ended || e.over() { // answered, or ended by its server
+		if link.TimedOut(err) {
+			e.Rest()
+			if state, _ := call.State(); state == memory.Ended || e.Over() { // answered, or ended by its server
 				f.answer(call, e)
 				return
 			}
-			e.rest()
-			e.until(0)
+			e.Until(0)
 			continue
 		}
-		call.Leave(ending(err))
+		call.Leave(link.Ending(err))
 		return
 	}
 }
 
 // answer writes the final answer of a call that did not come up.
-func (f *Front) answer(call *memory.Call, e *end) {
+func (f *Front) answer(call *memory.Call, e *link.End) {
 	_, a := call.State()
 	switch {
 	case a.Kind == memory.Refused && a.RetryAfter > 0:
--- a/internal/wire/platform/line.go
+++ b/internal/wire/platform/line.go
@@ -7,13 +7,9 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"strconv"
 	"strings"
-	"sync"
-	"time"
 
 	"capersail/decide"
 	"capersail/internal/memory"
@@ -22,13 +18,6 @@
 // maxLine is the longest line the protocol knows, its end included.
 const maxLine = 4096
 
-// writeWithin bounds every write: a peer that takes nothing for so long has its connection ended.
-const writeWithin = 1000.0
-
-// lingerFor is how long a connection that was ended cleanly waits for the other end. Closing one with
-// unread bytes makes the kernel send a reset, which can overtake and destroy the last line written.
-const lingerFor = 500.0
-
 var errTooLong = errors.New("line over 4 KiB")
 
 // lines reads lines from a connection. A read that a deadline cuts short loses nothing.
@@ -88,112 +77,6 @@
 	return r
 }
 
-// end is one connection's end of a call, for the other side's goroutine and the core loop. A sticky wake
-// makes a pending read return at once; a write never waits longer than writeWithin.
-type end struct {
-	mu     sync.Mutex
-	conn   net.Conn // nil while it is dialled
-	clock  *memory.Clock
-	stop   func() // ends the dial
-	woken  bool
-	closed bool
-}
-
-// attach gives the end its connection once it is dialled; false if it was closed meanwhile.
-func (e *end) attach(conn net.Conn) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.conn = conn
-	return !e.closed
-}
-
-// until sets when a pending read returns at the latest, unless the end has been woken already; 0 is never.
-func (e *end) until(at float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	switch {
-	case e.woken || e.closed:
-	case at == 0:
-		e.conn.SetReadDeadline(time.Time{})
-	default:
-		e.conn.SetReadDeadline(e.clock.Wall(at))
-	}
-}
-
-// over tells whether the end has been closed: by its call's other side, or because the attempt is called off.
-func (e *end) over() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.closed
-}
-
-// rest lets reads wait again after a wake.
-func (e *end) rest() {
-	e.mu.Lock()
-	e.woken = false
-	e.mu.Unlock()
-}
-
-// Wake makes the goroutine that reads the connection look at its call.
-func (e *end) Wake() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.woken = true
-	if e.conn != nil && !e.closed {
-		e.conn.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// Pass writes to the connection.
-func (e *end) Pass(p []byte) error {
-	e.conn.SetWriteDeadline(e.clock.Wall(e.clock.Now() + writeWithin))
-	_, err := e.conn.Write(p)
-	return err
-}
-
-// Close ends the connection: cleanly, with a bounded wait for the peer's end, or with a reset. The
-// goroutine that reads the connection closes it for good.
-func (e *end) Close(how memory.Ending) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.closed {
-		return
-	}
-	e.closed = true
-	if e.stop != nil {
-		e.stop()
-	}
-	tcp, ok := e.conn.(*net.TCPConn)
-	switch {
-	case e.conn == nil:
-	case ok && how == memory.Clean:
-		tcp.CloseWrite()
-		tcp.SetReadDeadline(e.clock.Wall(e.clock.Now() + lingerFor))
-	default:
-		if ok {
-			tcp.SetLinger(0)
-		}
-		e.conn.Close()
-	}
-}
-
-// drain throws away what still comes, until the peer's end or the bounded wait, then closes for good.
-func (e *end) drain() {
-	e.Close(memory.Clean)
-	io.Copy(io.Discard, io.LimitReader(e.conn, 1<<20))
-	e.conn.Close()
-}
-
-// ending tells a clean end from a break.
-func ending(err error) memory.Ending {
-	if errors.Is(err, io.EOF) {
-		return memory.Clean
-	}
-	return memory.Broken
-}
-
-func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
 // opening is a client's first line, taken apart. Its text goes on to the server unchanged but for d.
 type opening struct {
 	before, after string // the line around the figure of d
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -9,6 +9,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/wire/link"
 )
 
 // probeWithin is how long a probe's answer is waited for. It tells a silent machine from a slow one.
@@ -24,19 +25,13 @@
 	probers map[decide.Backend]chan probe
 }
 
-// dial connects. Keep-alive stays off: it notices nothing that the protocol's own lines do not.
-func dial(ctx context.Context, addr string, within float64) (net.Conn, error) {
-	d := net.Dialer{Timeout: memory.Duration(max(within, 1)), KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
-}
-
 // Try makes one attempt in a goroutine of its own.
 func (s *Servers) Try(c *memory.Call, a memory.Attempt) { go s.try(c, a) }
 
 func (s *Servers) try(c *memory.Call, a memory.Attempt) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	e := &end{clock: s.Clock, stop: stop}
+	e := &link.End{Clock: s.Clock, Stop: stop}
 	if !c.Attach(a.No, e) {
 		c.Over(a.No, decide.Moot, decide.NoReport)
 		return
@@ -45,13 +40,13 @@
 	if s.ConnectTimeout > 0 {
 		within = min(within, s.ConnectTimeout)
 	}
-	conn, err := dial(ctx, a.Server.Address, within)
+	conn, err := link.Dial(ctx, a.Server.Address, within)
 	if err != nil {
 		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
 		return
 	}
 	defer conn.Close()
-	if !e.attach(conn) || !c.Begin(a.No) {
+	if !e.Attach(conn) || !c.Begin(a.No) {
 		conn.Close() // the server is to see the end before the module hears of it and may send elsewhere
 		c.Over(a.No, decide.Moot, decide.NoReport)
 		return
@@ -65,20 +60,20 @@
 }
 
 // converse sends the first line and follows the connection to its end, for PROTOCOL's table.
-func (s *Servers) converse(c *memory.Call, a memory.Attempt, e *end) (decide.Status, decide.Report) {
+func (s *Servers) converse(c *memory.Call, a memory.Attempt, e *link.End) (decide.Status, decide.Report) {
 	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now())) != nil {
 		return decide.ConnectFailed, decide.NoReport
 	}
-	in := newLines(e.conn)
+	in := newLines(e.Conn)
 	for {
-		e.until(a.Until)
+		e.Until(a.Until)
 		line, err := in.next()
-		if timedOut(err) {
-			if e.over() {
+		if link.TimedOut(err) {
+			e.Rest() // before the looks below: a wake that comes after them must not be lost
+			if e.Over() {
 				return decide.Cancelled, decide.NoReport
 			}
-			if s.Clock.Now() < a.Until {
-				e.rest() // its server has begun to drain: what was sent in time goes on
+			if s.Clock.Now() < a.Until { // its server has begun to drain: what was sent in time goes on
 				continue
 			}
 			return decide.TimedOut, decide.NoReport
@@ -103,12 +98,12 @@
 
 // carry passes lines from the server to the client until one side ends, or the client is to be moved.
 // It alone writes to a client whose call is up, so MOVE always stands between two lines.
-func (s *Servers) carry(c *memory.Call, a memory.Attempt, e *end, in *lines, line []byte) (decide.Status, decide.Report) {
+func (s *Servers) carry(c *memory.Call, a memory.Attempt, e *link.End, in *lines, line []byte) (decide.Status, decide.Report) {
 	client := c.Up(a.No)
 	if client == nil {
 		return decide.Cancelled, decide.NoReport
 	}
-	e.until(0)
+	e.Until(0)
 	status, load, within := decide.Reset, decide.NoReport, false
 	for {
 		if err := client.Pass(line); err != nil {
@@ -123,8 +118,9 @@
 			within = line[len(line)-1] != '\n' // the rest of a line over 4 KiB is no line of its own
 			continue
 		}
-		if timedOut(err) {
-			if e.over() { // the client has left, and the server took its time to end too
+		if link.TimedOut(err) {
+			e.Rest()
+			if e.Over() { // the client has left, and the server took its time to end too
 				return decide.Cancelled, load
 			}
 			if moving, silent := c.Moving(); moving {
@@ -139,12 +135,11 @@
 				}
 				return decide.Cancelled, load
 			}
-			e.rest()
-			e.until(0)
+			e.Until(0)
 			line = nil
 			continue
 		}
-		client.Close(ending(err))
+		client.Close(link.Ending(err))
 		return status, load
 	}
 }
@@ -202,7 +197,7 @@
 		until := s.Clock.Now() + probeWithin
 		old := k.conn != nil
 		status, load, err := s.ask(&k, p.address, until)
-		if err != nil && old && !timedOut(err) { // it was closed while idle: that says nothing of the server
+		if err != nil && old && !link.TimedOut(err) { // it was closed while idle: that says nothing of the server
 			status, load, _ = s.ask(&k, p.address, until)
 		}
 		p.done(status, load)
@@ -226,7 +221,7 @@
 // ask puts one question. After any error the connection is dropped.
 func (s *Servers) ask(k *kept, address string, until float64) (decide.Status, decide.Report, error) {
 	if k.conn == nil {
-		conn, err := dial(context.Background(), address, until-s.Clock.Now())
+		conn, err := link.Dial(context.Background(), address, until-s.Clock.Now())
 		if err != nil {
 			var slow net.Error
 			if errors.As(err, &slow) && slow.Timeout() {
@@ -244,7 +239,7 @@
 	}
 	if err != nil {
 		k.drop()
-		if timedOut(err) {
+		if link.TimedOut(err) {
 			return decide.TimedOut, decide.NoReport, err
 		}
 		return decide.Reset, decide.NoReport, err
--- /dev/null
+++ b/internal/wire/xmpp/client.go
@@ -0,0 +1,200 @@
+package xmpp
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/wire/link"
+)
+
+// headerWithin bounds how long a connection may take to its stream's start tag, TLS included.
+const headerWithin = 10_000.0
+
+// Host is what the operator's file says of one `to`.
+type Host struct {
+	Class  decide.Class
+	Tenant decide.Tenant
+	Key    uint64
+	Left   float64 // milliseconds until a stream must be up
+}
+
+// Front is the client side.
+type Front struct {
+	X     *memory.Exchange
+	Hosts map[string]Host
+	TLS   *tls.Config // nil only where the operator's file allows plaintext
+	Log   zerolog.Logger
+	Room  int64 // how many client connections there may be
+	count atomic.Int64
+}
+
+// Serve accepts until the listener is closed.
+func (f *Front) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			f.Log.Warn().Err(err).Msg("accept failed")
+			time.Sleep(memory.Duration(5))
+			continue
+		}
+		go f.serve(conn, f.count.Add(1) > f.Room)
+	}
+}
+
+func (f *Front) serve(conn net.Conn, crowded bool) {
+	defer f.count.Add(-1)
+	e := &link.End{Conn: conn, Clock: f.X.Clock}
+	defer e.Drain()
+	e.Until(f.X.Clock.Now() + headerWithin)
+	st := newStream(e)
+	r, host, err := f.header(e, st)
+	if err != nil {
+		f.Log.Warn().Err(err).Str("to", st.to).Msg("stream refused before it was placed")
+		return
+	}
+	if crowded {
+		st.finish("resource-constraint", retryAfter(500))
+		return
+	}
+	e.Until(0)
+	call := f.X.Open(memory.Ask{Class: host.Class, Tenant: host.Tenant, Key: host.Key, Left: host.Left, Payload: st}, clientEnd{e, st})
+	f.follow(call, st, r)
+}
+
+// header takes the client's start tag, after STARTTLS where there is a certificate.
+func (f *Front) header(e *link.End, st *stream) (*reader, Host, error) {
+	r := newReader(e.Conn)
+	host, err := f.start(st, r)
+	if err != nil || f.TLS == nil {
+		return r, host, err
+	}
+	st.write([]byte("<?xml version='1.0'?>" + startTag(st.to) +
+		"<stream:features><starttls xmlns='" + tlsNS + "'><required/></starttls></stream:features>"))
+	it, err := r.next()
+	if err != nil || it.name != "starttls" || !r.idle() { // bytes before the handshake are nobody's
+		st.finish("policy-violation", "")
+		return r, host, fmt.Errorf("no STARTTLS but %q: %w", it.name, err)
+	}
+	if err := st.write([]byte("<proceed xmlns='" + tlsNS + "'/>")); err != nil {
+		return r, host, err
+	}
+	secure := tls.Server(e.Conn, f.TLS)
+	ctx, stop := context.WithTimeout(context.Background(), memory.Duration(headerWithin))
+	defer stop()
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return r, host, fmt.Errorf("TLS: %w", err)
+	}
+	e.Attach(secure)
+	st.header = false // the client begins a new stream, and is owed a new start tag
+	e.Until(f.X.Clock.Now() + headerWithin)
+	r = newReader(secure)
+	host, err = f.start(st, r)
+	return r, host, err
+}
+
+// start takes one start tag and finds its host.
+func (f *Front) start(st *stream, r *reader) (Host, error) {
+	it, err := r.next()
+	condition := ""
+	switch {
+	case err != nil && ours(err):
+		condition = err.Error()
+	case err != nil:
+		return Host{}, err
+	case it.kind != opened || it.name != "stream:stream":
+		condition = "bad-format"
+	case it.attrs["xmlns:stream"] != streamsNS || it.attrs["xmlns"] != "jabber:client":
+		condition = "invalid-namespace"
+	case it.attrs["version"] != "1.0":
+		condition = "unsupported-version"
+	}
+	st.open, st.to = it, it.attrs["to"]
+	host, known := f.Hosts[st.to]
+	if condition == "" && !known {
+		condition = "host-unknown"
+	}
+	if condition != "" {
+		st.finish(condition, "")
+		return host, errors.New(condition)
+	}
+	return host, nil
+}
+
+// follow reads the client until its end, and queues what it sends for the server side.
+func (f *Front) follow(call *memory.Call, st *stream, r *reader) {
+	defer st.leave()
+	for {
+		it, err := r.next()
+		switch {
+		case err == nil:
+			if !st.push(it) {
+				_, answer := call.State()
+				f.answer(st, answer)
+				return
+			}
+			call.Nudge()
+		case link.TimedOut(err):
+			st.client.Rest()
+			if state, answer := call.State(); state == memory.Ended || st.client.Over() {
+				f.answer(st, answer)
+				return
+			}
+			st.client.Until(0)
+		case ours(err):
+			f.Log.Warn().Err(err).Str("to", st.to).Msg("stream ended for what its client sent")
+			st.finish(err.Error(), "")
+			call.Leave(memory.Clean)
+			return
+		default:
+			// A client that ends its connection in order may have stanzas in the queue: they go out first.
+			state, _ := call.State()
+			if link.Ending(err) == memory.Clean && state == memory.Up && st.push(item{kind: closed, raw: []byte("</stream:stream>")}) {
+				call.Nudge()
+				st.wait()
+			}
+			call.Leave(link.Ending(err))
+			return
+		}
+	}
+}
+
+// answer tells the client the final answer of a stream that did not come up.
+func (f *Front) answer(st *stream, a memory.Answer) {
+	switch a.Kind {
+	case memory.Refused:
+		st.finish("resource-constraint", retryAfter(a.RetryAfter))
+	case memory.Failed:
+		switch {
+		case st.why() != "":
+			st.finish(st.why(), "")
+		case a.Cause == decide.TimedOut:
+			st.finish("connection-timeout", "")
+		default:
+			st.finish("remote-connection-failed", "")
+		}
+	}
+}
+
+func (st *stream) why() string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.reason
+}
+
+// retryAfter is the child of a refusal that tells the client when to come again.
+func retryAfter(ms float64) string {
+	return fmt.Sprintf("<retry-after xmlns='%s' ms='%d'/>", retryNS, int(math.Ceil(ms)))
+}
--- /dev/null
+++ b/internal/wire/xmpp/scan.go
@@ -0,0 +1,244 @@
+// Package xmpp speaks RFC 6120 with clients on one side and servers on the other. The two sides meet only
+// in the Exchange, and in the stream that a call of theirs carries.
+package xmpp
+
+import (
+	"errors"
+	"strings"
+)
+
+// The bounds on what one peer may make the relay hold.
+const (
+	maxDepth = 32
+	maxItem  = 64 << 10
+)
+
+// A scan that fails is answered with the stream error that RFC 6120 names for it.
+var (
+	errNotWellFormed = errors.New("not-well-formed")
+	errRestricted    = errors.New("restricted-xml")
+	errTooBig        = errors.New("policy-violation")
+)
+
+type kind uint8
+
+const (
+	opened  kind = iota // a stream's start tag
+	element             // a whole element of the stream's first level
+	closed              // the stream's end tag
+)
+
+// item is one thing that a stream brings: its text as it came, and its outermost tag taken apart.
+type item struct {
+	kind  kind
+	raw   []byte
+	name  string
+	attrs map[string]string
+}
+
+// scanner cuts a stream into items. It takes bytes as they come, so a read may end anywhere. It refuses
+// what RFC 6120 restricts: document types, processing instructions, comments, entities of one's own.
+type scanner struct {
+	buf   []byte // the item that is being read
+	tag   int    // where its latest tag begins
+	mode  scanMode
+	quote byte
+	ent   int // where an entity begins
+	stack []string
+	begun bool // something has come: an XML declaration is allowed no more
+	again bool // the stream has been restarted, as it is once after SASL
+	head  item // the outermost tag of the item
+}
+
+type scanMode uint8
+
+const (
+	inText scanMode = iota
+	inTag
+	inData // CDATA
+	inEntity
+)
+
+// feed takes bytes and returns the items that they complete.
+func (s *scanner) feed(p []byte) (items []item, err error) {
+	for _, c := range p {
+		it, err := s.byte(c)
+		if err != nil {
+			return items, err
+		}
+		if it != nil {
+			items = append(items, *it)
+		}
+	}
+	return items, nil
+}
+
+func (s *scanner) byte(c byte) (*item, error) {
+	if c < ' ' && c != '\t' && c != '\n' && c != '\r' {
+		return nil, errNotWellFormed
+	}
+	if s.mode == inText && len(s.stack) < 2 && c != '<' { // between items only blanks may stand
+		if c == ' ' || c == '\t' || c == '\n' || c == '\r' {
+			return nil, nil
+		}
+		return nil, errNotWellFormed
+	}
+	if len(s.buf) >= maxItem {
+		return nil, errTooBig
+	}
+	s.buf = append(s.buf, c)
+	switch s.mode {
+	case inText:
+		switch c {
+		case '<':
+			s.mode, s.tag = inTag, len(s.buf)-1
+		case '&':
+			s.mode, s.ent = inEntity, len(s.buf)
+		}
+	case inEntity:
+		if c == ';' {
+			name := string(s.buf[s.ent : len(s.buf)-1])
+			if !strings.HasPrefix(name, "#") && !strings.Contains(" amp lt gt quot apos ", " "+name+" ") || name == "" {
+				return nil, errRestricted
+			}
+			s.mode = inText
+		} else if len(s.buf)-s.ent > 8 || c == '<' {
+			return nil, errNotWellFormed
+		}
+	case inData:
+		if c == '>' && strings.HasSuffix(string(s.buf[s.tag:]), "]]>") {
+			s.mode = inText
+		}
+	case inTag:
+		return s.inside(c)
+	}
+	return nil, nil
+}
+
+// inside takes a byte of a tag.
+func (s *scanner) inside(c byte) (*item, error) {
+	tag := s.buf[s.tag:]
+	const data = "<![CDATA["
+	switch {
+	case len(tag) >= 2 && tag[1] == '!':
+		if len(s.stack) < 2 || len(tag) > len(data) || data[:len(tag)] != string(tag) {
+			return nil, errRestricted // a document type or a comment
+		}
+		if len(tag) == len(data) {
+			s.mode = inData
+		}
+		return nil, nil
+	case len(tag) >= 2 && tag[1] == '?':
+		restart := len(s.stack) == 1 && s.tag == 0 && !s.again
+		if s.begun && !restart || len(tag) > 5 && string(tag[:5]) != "<?xml" || len(tag) > 256 {
+			return nil, errRestricted
+		}
+		if c == '>' {
+			if len(tag) < 7 || tag[len(tag)-2] != '?' {
+				return nil, errRestricted
+			}
+			s.begun, s.mode, s.buf = true, inText, s.buf[:0]
+		}
+		return nil, nil
+	case s.quote != 0:
+		if c == '<' {
+			return nil, errNotWellFormed
+		}
+		if c == s.quote {
+			s.quote = 0
+		}
+		return nil, nil
+	case c == '"' || c == '\'':
+		s.quote = c
+		return nil, nil
+	case c == '<' && len(tag) > 1:
+		return nil, errNotWellFormed
+	case c != '>':
+		return nil, nil
+	}
+	s.begun, s.mode = true, inText
+	return s.close(string(tag[1 : len(tag)-1]))
+}
+
+// close takes a whole tag, without its brackets.
+func (s *scanner) close(tag string) (*item, error) {
+	if name, end := strings.CutPrefix(tag, "/"); end {
+		name = strings.TrimRight(name, " \t\r\n")
+		if len(s.stack) == 0 || s.stack[len(s.stack)-1] != name {
+			return nil, errNotWellFormed
+		}
+		s.stack = s.stack[:len(s.stack)-1]
+		switch len(s.stack) {
+		case 0:
+			s.head = item{kind: closed, name: name}
+			return s.done(), nil
+		case 1:
+			return s.done(), nil
+		}
+		return nil, nil
+	}
+	text, empty := strings.CutSuffix(tag, "/")
+	name, attrs, err := attributes(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.stack) < 2 {
+		s.head = item{kind: element, name: name, attrs: attrs}
+	}
+	if name == "stream:stream" && len(s.stack) == 1 && !s.again && !empty {
+		s.again, s.stack = true, s.stack[:0]
+	}
+	if empty {
+		switch len(s.stack) {
+		case 0:
+			return nil, errNotWellFormed
+		case 1:
+			return s.done(), nil
+		}
+		return nil, nil
+	}
+	if len(s.stack) >= maxDepth {
+		return nil, errTooBig
+	}
+	s.stack = append(s.stack, name)
+	if len(s.stack) == 1 {
+		s.head.kind = opened
+		return s.done(), nil
+	}
+	return nil, nil
+}
+
+func (s *scanner) done() *item {
+	it := s.head
+	it.raw = append([]byte(nil), s.buf...)
+	s.buf = s.buf[:0]
+	return &it
+}
+
+// attributes takes a start tag apart.
+func attributes(tag string) (name string, attrs map[string]string, err error) {
+	const blanks = " \t\r\n"
+	name = tag
+	if i := strings.IndexAny(tag, blanks); i >= 0 {
+		name, tag = tag[:i], tag[i:]
+	} else {
+		tag = ""
+	}
+	if name == "" || strings.ContainsAny(name, "<>&'\"=/") {
+		return "", nil, errNotWellFormed
+	}
+	attrs = map[string]string{}
+	for tag = strings.Trim(tag, blanks); tag != ""; tag = strings.TrimLeft(tag, blanks) {
+		key, rest, ok := strings.Cut(tag, "=")
+		key, rest = strings.TrimRight(key, blanks), strings.TrimLeft(rest, blanks)
+		if !ok || key == "" || strings.ContainsAny(key, blanks+"'\"") || rest == "" || rest[0] != '"' && rest[0] != '\'' {
+			return "", nil, errNotWellFormed
+		}
+		end := strings.IndexByte(rest[1:], rest[0])
+		if _, twice := attrs[key]; end < 0 || twice {
+			return "", nil, errNotWellFormed
+		}
+		attrs[key], tag = rest[1:end+1], rest[end+2:]
+	}
+	return name, attrs, nil
+}
--- /dev/null
+++ b/internal/wire/xmpp/server.go
@@ -0,0 +1,362 @@
+package xmpp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/wire/link"
+)
+
+// Servers is the server side: it dials, carries set-up and stanzas, classifies how attempts end, and
+// notices silence.
+type Servers struct {
+	Clock          *memory.Clock
+	ConnectTimeout float64
+	ProbeTo        string  // the host that a probe's stream names
+	Silent         float64 // a server that has confirmed nothing for so long is given up
+	Log            zerolog.Logger
+}
+
+// Try makes one attempt in a goroutine of its own.
+func (s *Servers) Try(c *memory.Call, a memory.Attempt) { go s.try(c, a) }
+
+func (s *Servers) try(c *memory.Call, a memory.Attempt) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	e := &link.End{Clock: s.Clock, Stop: stop}
+	if !c.Attach(a.No, e) {
+		c.Over(a.No, decide.Moot, decide.NoReport)
+		return
+	}
+	conn, err := link.Dial(ctx, a.Server.Address, min(a.Until-s.Clock.Now(), s.ConnectTimeout))
+	if err != nil {
+		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
+		return
+	}
+	defer conn.Close()
+	if !e.Attach(conn) || !c.Begin(a.No) {
+		conn.Close()
+		c.Over(a.No, decide.Moot, decide.NoReport)
+		return
+	}
+	st := c.Payload.(*stream)
+	at := &attempt{s: s, c: c, a: a, e: e, st: st, r: newReader(conn)}
+	status := at.setUp()
+	e.Close(memory.Clean)
+	conn.Close()
+	c.Over(a.No, status, decide.NoReport)
+	if state, _ := c.State(); state == memory.Ended {
+		st.leave()
+	}
+}
+
+// attempt is one connection to a server.
+type attempt struct {
+	s  *Servers
+	c  *memory.Call
+	a  memory.Attempt
+	e  *link.End
+	st *stream
+	r  *reader
+
+	unconfirmed []item  // written to the server, which has not shown yet that it took them
+	since       float64 // when the oldest of them was written, or the server was last heard after it
+	pingAfter   int     // how many of them stood before the ping that is out; 0 if none is
+	pings       int
+}
+
+// errWoken says that the call has something new: an item in its queue, a move, or a drain.
+var errWoken = errors.New("woken")
+
+// next reads the server's next item, until a time; 0 is never.
+func (at *attempt) next(until float64) (item, error) {
+	at.e.Until(until)
+	it, err := at.r.next()
+	if link.TimedOut(err) {
+		at.e.Rest()
+		if until == 0 || at.s.Clock.Now() < until || at.e.Over() {
+			return it, errWoken
+		}
+	}
+	return it, err
+}
+
+// setUp carries the stream to the features after SASL. Until the client's SASL bytes go out nothing has
+// run: whatever happens, the attempt may be made again elsewhere, and is told as one that never connected.
+func (at *attempt) setUp() decide.Status {
+	if at.e.Pass(append([]byte("<?xml version='1.0'?>"), at.st.open.raw...)) != nil {
+		return decide.ConnectFailed
+	}
+	open, status := at.expect(opened, "stream:stream", at.a.Until)
+	if status != decide.OK {
+		return status
+	}
+	features, status := at.expect(element, "stream:features", at.a.Until)
+	if status != decide.OK {
+		return status
+	}
+	if at.c.Dialogue(at.a.No) == nil {
+		return decide.Cancelled
+	}
+	if !at.st.greet(string(open.raw), withoutTLS(string(features.raw))) {
+		return decide.ConnectFailed
+	}
+	return at.authenticate()
+}
+
+// expect reads one item before SASL.
+func (at *attempt) expect(k kind, name string, until float64) (item, decide.Status) {
+	for {
+		it, err := at.next(until)
+		switch {
+		case err == errWoken && at.e.Over():
+			return it, decide.Cancelled
+		case err == errWoken && at.c.Draining():
+			return it, decide.Moot
+		case err == errWoken:
+		case err != nil || it.kind != k || it.name != name:
+			return it, decide.ConnectFailed
+		default:
+			return it, decide.OK
+		}
+	}
+}
+
+// authenticate passes SASL both ways, until the features of the restarted stream.
+func (at *attempt) authenticate() decide.Status {
+	sent, passed, again := false, false, false
+	for {
+		// A server that has begun to drain gets nothing new. Before SASL the attempt is simply not made; a
+		// stream in the middle of it cannot be taken elsewhere, and its client is told to come again.
+		if at.c.Draining() {
+			if !sent {
+				return decide.Moot
+			}
+			at.st.because("reset")
+			return decide.Cancelled
+		}
+		for it, ok := at.st.pop(); ok; it, ok = at.st.pop() {
+			if it.kind == closed {
+				at.e.Pass(it.raw)
+				at.st.finish("", "")
+				at.c.Leave(memory.Clean)
+				return decide.Cancelled
+			}
+			sent = true
+			if at.e.Pass(it.raw) != nil {
+				return decide.Reset
+			}
+		}
+		it, err := at.next(at.a.Last)
+		switch {
+		case err == errWoken && at.e.Over():
+			return decide.Cancelled
+		case err == errWoken:
+			continue
+		case link.TimedOut(err) && !sent: // the client was given features and did nothing: no server's fault
+			at.st.because("connection-timeout")
+			return decide.Cancelled
+		case link.TimedOut(err):
+			return decide.TimedOut
+		case err != nil && !sent:
+			return decide.ConnectFailed
+		case err != nil || it.kind == closed:
+			return decide.Reset
+		}
+		if it.name == "stream:features" && again {
+			if at.c.Up(at.a.No) == nil {
+				return decide.Cancelled
+			}
+			if at.st.write(it.raw) != nil {
+				return decide.Cancelled
+			}
+			return at.carry()
+		}
+		passed = passed || it.name == "success"
+		again = again || passed && it.kind == opened
+		if at.st.write(it.raw) != nil {
+			return decide.Cancelled
+		}
+	}
+}
+
+// carry passes stanzas until one side ends or the client is to be moved. It alone writes to both ends, so
+// whatever it adds stands between two stanzas.
+func (at *attempt) carry() decide.Status {
+	for {
+		if err := at.flush(false); err != nil {
+			return at.lost("remote-connection-failed", decide.Reset)
+		}
+		it, err := at.next(at.wakeAt())
+		if moving, silent := at.c.Moving(); moving {
+			return at.move(silent)
+		}
+		switch {
+		case err == errWoken && at.e.Over():
+			at.e.Pass([]byte("</stream:stream>"))
+			return decide.Cancelled
+		case err == errWoken:
+		case link.TimedOut(err):
+			if at.s.Clock.Now()-at.since >= at.s.Silent {
+				return at.lost("connection-timeout", decide.Reset)
+			}
+			if at.ping() != nil {
+				return at.lost("remote-connection-failed", decide.Reset)
+			}
+		case err != nil:
+			return at.lost("remote-connection-failed", decide.Reset)
+		case it.kind == closed:
+			at.e.Pass([]byte("</stream:stream>"))
+			return at.lost("", decide.OK)
+		case it.name == "stream:error":
+			at.st.write(it.raw)
+			return at.lost("", decide.Cancelled)
+		default:
+			at.since = at.s.Clock.Now()
+			if at.pong(it) {
+				continue
+			}
+			if at.st.write(it.raw) != nil {
+				return decide.Cancelled
+			}
+		}
+	}
+}
+
+// flush writes what the client has queued. While a ping is out and late, and while too much is
+// unconfirmed, it stays queued; all does without that.
+func (at *attempt) flush(all bool) error {
+	for {
+		now := at.s.Clock.Now()
+		if late := at.pingAfter > 0 && now-at.since >= at.s.Silent*2/5; !all && (late || len(at.unconfirmed) >= maxQueue) {
+			return nil
+		}
+		it, ok := at.st.pop()
+		if !ok {
+			return nil
+		}
+		if len(at.unconfirmed) == 0 {
+			at.since = now
+		}
+		at.unconfirmed = append(at.unconfirmed, it)
+		if err := at.e.Pass(it.raw); err != nil { // a part of a stanza is none: what was cut off is bounced too
+			return err
+		}
+	}
+}
+
+// wakeAt is when the server's silence is to be looked at.
+func (at *attempt) wakeAt() float64 {
+	switch {
+	case len(at.unconfirmed) == 0:
+		return 0
+	case at.pingAfter > 0:
+		return at.since + at.s.Silent
+	default:
+		return at.since + at.s.Silent/5
+	}
+}
+
+// ping asks the server for a sign of life (XEP-0199). Stanzas are taken in order, so its answer confirms all
+// that went before it.
+func (at *attempt) ping() error {
+	at.pings++
+	at.pingAfter = len(at.unconfirmed)
+	return at.e.Pass(fmt.Appendf(nil, "<iq type='get' id='capersail-%d-%d'><ping xmlns='urn:xmpp:ping'/></iq>", at.c.ID, at.pings))
+}
+
+// pong takes the answer to our own ping; an error is as good as a result.
+func (at *attempt) pong(it item) bool {
+	if it.name != "iq" || at.pingAfter == 0 || it.attrs["id"] != fmt.Sprintf("capersail-%d-%d", at.c.ID, at.pings) {
+		return false
+	}
+	at.unconfirmed, at.pingAfter = at.unconfirmed[at.pingAfter:], 0
+	return true
+}
+
+// lost ends a stream whose server is gone, silent or done. What the server has not confirmed, and what is
+// still queued, comes back to the client as errors: never lost without a word, never sent twice.
+func (at *attempt) lost(condition string, status decide.Status) decide.Status {
+	back := at.unconfirmed
+	if status == decide.OK || status == decide.Cancelled { // it ended its stream in order, after what it had read
+		back = nil
+	}
+	for it, ok := at.st.pop(); ok; it, ok = at.st.pop() {
+		if it.kind == closed {
+			condition = ""
+		}
+		back = append(back, it)
+	}
+	for _, it := range back {
+		if text := bounce(it); text != "" {
+			at.st.write([]byte(text))
+		}
+	}
+	at.st.finish(condition, "")
+	at.st.client.Close(memory.Clean)
+	return status
+}
+
+// move sends the client away, after what it has sent so far.
+func (at *attempt) move(silent bool) decide.Status {
+	if silent || at.pingAfter > 0 || at.flush(true) != nil {
+		return at.lost("reset", decide.Reset)
+	}
+	at.e.Pass([]byte("</stream:stream>"))
+	return at.lost("reset", decide.Cancelled)
+}
+
+// withoutTLS takes the server's own offer of STARTTLS out of its features: the relay has ended TLS, or the
+// operator's file says that there is none.
+func withoutTLS(features string) string {
+	i := strings.Index(features, "<starttls")
+	if i < 0 {
+		return features
+	}
+	rest := features[i:]
+	if j := strings.Index(rest, ">"); j > 0 && rest[j-1] == '/' {
+		return features[:i] + rest[j+1:]
+	}
+	if j := strings.Index(rest, "</starttls>"); j >= 0 {
+		return features[:i] + rest[j+len("</starttls>"):]
+	}
+	return features
+}
+
+// Probe opens a stream and waits for the server's start tag. Load comes from the server's own node.
+func (s *Servers) Probe(to memory.Server, done func(decide.Status, decide.Report)) {
+	go func() { done(s.probe(to)) }()
+}
+
+func (s *Servers) probe(to memory.Server) (decide.Status, decide.Report) {
+	report := decide.NoReport
+	report.Load = to.Load
+	conn, err := link.Dial(context.Background(), to.Address, s.ConnectTimeout)
+	if err != nil {
+		var slow net.Error
+		if errors.As(err, &slow) && slow.Timeout() {
+			return decide.TimedOut, report
+		}
+		return decide.ConnectFailed, report
+	}
+	defer conn.Close()
+	conn.SetDeadline(s.Clock.Wall(s.Clock.Now() + s.ConnectTimeout))
+	fmt.Fprintf(conn, "<?xml version='1.0'?><stream:stream to='%s' version='1.0' xmlns='jabber:client' xmlns:stream='%s'>",
+		escape(s.ProbeTo), streamsNS)
+	it, err := newReader(conn).next()
+	switch {
+	case link.TimedOut(err):
+		return decide.TimedOut, report
+	case err != nil || it.kind != opened:
+		return decide.Reset, report
+	}
+	conn.Write([]byte("</stream:stream>"))
+	return decide.OK, report
+}
