--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -542,12 +542,17 @@
 	return len(x.calls)
 }
 
-// FailAll gives every call that has none its final answer, at the end of a relay's life.
+// FailAll gives every call that has none its final answer, at the end of a relay's life. A refusal says
+// that trying again is harmless, so it is no answer to what may have run and must not run twice.
 func (x *Exchange) FailAll() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, c := range x.calls {
-		c.end(Answer{Kind: Refused})
+		kind := Refused
+		if x.site.Settings.Classes[c.Class].Effect != decide.Safe && (c.mayRun || c.out && c.begun) {
+			kind = Failed
+		}
+		c.end(Answer{Kind: kind})
 	}
 }
 
--- /dev/null
+++ b/internal/standin/xmpp.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"encoding/xml"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// XMPP is a server that takes any PLAIN authentication and counts what it is sent. Its parser is
+// encoding/xml, so the program's own is checked against another.
+type XMPP struct {
+	Address string
+	// Hold says where a connection stops answering: "header", "auth" or "" for never.
+	Hold string
+	// Arrived gets a word at each stage: "header", "auth", "up", and "message ID" for each stanza.
+	Arrived chan string
+
+	l     net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	quiet bool
+}
+
+// NewXMPP starts a server on loopback.
+func NewXMPP(hold string) (*XMPP, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &XMPP{Address: l.Addr().String(), Hold: hold, Arrived: make(chan string, 4096), l: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	return s, nil
+}
+
+// Kill ends the server as a process that dies does: connections are reset, new ones refused.
+func (s *XMPP) Kill() {
+	s.l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// Silence makes the server say nothing more, on connections that stay open.
+func (s *XMPP) Silence() {
+	s.mu.Lock()
+	s.quiet = true
+	s.mu.Unlock()
+}
+
+func (s *XMPP) say(c net.Conn, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.quiet {
+		fmt.Fprintf(c, format, args...)
+	}
+}
+
+const header = "<?xml version='1.0'?><stream:stream from='alerts.example' id='s1' version='1.0' " +
+	"xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'>"
+
+func (s *XMPP) serve(c net.Conn) {
+	defer c.Close()
+	d, authed := xml.NewDecoder(c), false
+	for {
+		t, err := d.Token()
+		if err != nil {
+			return
+		}
+		if end, ok := t.(xml.EndElement); ok && end.Name.Local == "stream" {
+			s.say(c, "</stream:stream>")
+			return
+		}
+		start, ok := t.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		switch start.Name.Local {
+		case "stream":
+			switch {
+			case authed:
+				s.say(c, "%s<stream:features><bind xmlns='urn:ietf:params:xml:ns:xmpp-bind'/></stream:features>", header)
+				s.Arrived <- "up"
+			case s.Hold == "header":
+				s.Arrived <- "header"
+			default:
+				s.say(c, "%s<stream:features><starttls xmlns='urn:ietf:params:xml:ns:xmpp-tls'/>"+
+					"<mechanisms xmlns='urn:ietf:params:xml:ns:xmpp-sasl'><mechanism>PLAIN</mechanism></mechanisms></stream:features>", header)
+				s.Arrived <- "header"
+			}
+		case "auth":
+			d.Skip()
+			s.Arrived <- "auth"
+			if s.Hold != "auth" {
+				s.say(c, "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>")
+				d, authed = xml.NewDecoder(c), true
+			}
+		default:
+			id := ""
+			for _, a := range start.Attr {
+				if a.Name.Local == "id" {
+					id = a.Value
+				}
+			}
+			d.Skip()
+			if start.Name.Local == "iq" {
+				s.say(c, "<iq type='result' id='%s'/>", id)
+			} else {
+				s.Arrived <- start.Name.Local + " " + id
+				s.say(c, "<%s id='%s'><body>&lt;echo&gt;<![CDATA[</message>]]></body></%[1]s>", start.Name.Local, id)
+			}
+		}
+	}
+}
