--- /dev/null
+++ b/cmd/capersail/main_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"capersail/internal/standin"
+)
+
+// TestMain lets the test binary stand for the program itself.
+func TestMain(m *testing.M) {
+	if os.Getenv("CAPERSAIL_RUN") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// configure writes the example's configuration with other addresses.
+func configure(t *testing.T, change func(map[string]any)) string {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		t.Fatal(err)
+	}
+	change(c)
+	text, _ = json.Marshal(c)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func program(t *testing.T, config string) *exec.Cmd {
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), "CAPERSAIL_RUN=1", "LB_CONFIG="+config)
+	return cmd
+}
+
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	return &client{conn, bufio.NewReader(conn)}
+}
+
+func (c *client) ask(t *testing.T, line, want string) {
+	t.Helper()
+	fmt.Fprint(c, line+"\r\n")
+	got, err := c.in.ReadString('\n')
+	if first, _, _ := strings.Cut(strings.TrimSpace(got), " "); first != want {
+		t.Fatalf("%q was answered %q, %v; want %s", line, got, err, want)
+	}
+}
+
+const open = "OPEN 9b1f 7f3a c=map-stream,t=acme,d=2000"
+
+// The program on its sockets: it serves, follows a drain, and at SIGTERM moves everyone and exits in order.
+func TestProgram(t *testing.T) {
+	d, err := standin.NewDiscovery("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := standin.NewTileServer("127.0.0.1:0", "UP")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	d.Set("s1", s.Address, "Ready")
+	cmd := program(t, configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = "127.0.0.1:0", d.Address
+		c["known"] = json.RawMessage(d.Whole())
+	}))
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	address, lines := "", bufio.NewScanner(logs)
+	for address == "" && lines.Scan() {
+		var l struct{ Message, Listen string }
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "serving" {
+			address = l.Listen
+		}
+	}
+	go func() {
+		for lines.Scan() {
+		}
+	}()
+	c := dial(t, address)
+	c.ask(t, "PING", "PONG")
+	c.ask(t, open, "UP")
+	c.ask(t, "M 1 hello", "M")
+	if first := <-s.Firsts; !strings.HasPrefix(first, "OPEN 9b1f 7f3a c=map-stream,t=acme,d=") {
+		t.Errorf("the server was sent %q", first)
+	}
+	dial(t, address).ask(t, "nonsense", "ERR")
+
+	d.Set("s1", s.Address, "Terminating")
+	for i := 0; ; i++ { // the news takes its time; then nothing new goes there, and what is open stays
+		k := dial(t, address)
+		fmt.Fprint(k, open+"\r\n")
+		if got, _ := k.in.ReadString('\n'); strings.HasPrefix(got, "BUSY") {
+			break
+		}
+		if i > 1000 {
+			t.Fatal("a draining server is still sent connections")
+		}
+		k.Close()
+	}
+	c.ask(t, "M 2 still here", "M")
+
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.in.ReadString('\n')
+	if strings.TrimSpace(got) != "MOVE" {
+		t.Errorf("at SIGTERM the client was told %q, %v", got, err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// Bad configuration: one plain message that names the key, and exit 1.
+func TestBadConfiguration(t *testing.T) {
+	for key, change := range map[string]func(map[string]any){
+		"listen":           func(c map[string]any) { c["listen"] = "nowhere" },
+		"discovery":        func(c map[string]any) { c["discovery"] = 7 },
+		"seed":             func(c map[string]any) { c["seed"] = "no number" },
+		"limits":           func(c map[string]any) { c["limits"] = map[string]any{"sockets": -1} },
+		"settings":         func(c map[string]any) { delete(c, "settings") },
+		"settings.classes": func(c map[string]any) { c["settings"] = map[string]any{} },
+		"known":            func(c map[string]any) { c["known"] = map[string]any{"instances": 7} },
+	} {
+		out, err := program(t, configure(t, change)).CombinedOutput()
+		exit, ok := err.(*exec.ExitError)
+		if !ok || exit.ExitCode() != 1 || !strings.HasPrefix(string(out), "capersail: "+key+": ") || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: %v, %q", key, err, out)
+		}
+	}
+}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -442,10 +442,8 @@
 		return
 	}
 	c.out = false
-	if c.canceled || c.state == Ended { // whatever it met, it was called off
-		if status != decide.Moot && status != decide.ConnectFailed {
-			status = decide.Cancelled
-		}
+	if (c.canceled || c.state == Ended) && !status.NeverRan() { // whatever else it met, it was called off
+		status = decide.Cancelled
 	}
 	c.mayRun = c.mayRun || !status.NeverRan()
 	switch c.state {
--- /dev/null
+++ b/internal/memory/exchange_test.go
@@ -0,0 +1,313 @@
+package memory
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+)
+
+// side stands for both wires: it notes what the Exchange asks of it.
+type side struct {
+	tries  []Attempt
+	probes int
+	closed int
+	woken  int
+}
+
+func (s *side) Try(_ *Call, a Attempt) { s.tries = append(s.tries, a) }
+func (s *side) Probe(_ Server, done func(decide.Status, decide.Report)) {
+	s.probes++
+	done(decide.OK, decide.Report{Load: 0.1, Inflight: -1, Errors: -1, Busy: -1})
+}
+func (s *side) Pass([]byte) error { return nil }
+func (s *side) Close(Ending)      { s.closed++ }
+func (s *side) Wake()             { s.woken++ }
+
+// model is what a request's state machine is meant to be: plain values, no locks, no channels.
+type model struct {
+	call     *Call
+	client   *side
+	state    State
+	answer   AnswerKind
+	sends    int
+	out      bool
+	attached bool
+	canceled bool
+	mayRun   bool
+	moving   bool
+	to       int
+	deadline float64
+	until    float64
+	outcomes int
+}
+
+// FuzzExchange plays random steps to a few requests and checks every one against the model: one final
+// answer, never two attempts out, nothing written to a server that drains, one outcome for each attempt.
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 7, 0, 0, 5, 0, 0})          // up, moved, over
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 9, 0, 1, 3, 0, 0, 5, 0, 7, 1, 0, 1, 2, 0, 0}) // drains during the dial
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 6, 0, 0, 5, 0, 0, 8, 0, 1, 8, 0, 0})                   // client leaves mid-set-up
+	f.Add([]byte{0, 1, 1, 1, 1, 0, 2, 1, 0, 3, 1, 0, 5, 1, 3, 1, 1, 1, 8, 1, 1})          // unsafe and lost: no second send
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 11, 0, 0, 3, 0, 0, 5, 0, 0, 10, 0, 9, 12, 0, 0, 13, 0, 0, 0, 2, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		clock, wire := NewSetClock(), &side{}
+		site := &Site{Settings: decide.Settings{MaxAttempts: 3, Classes: []decide.ClassInfo{{}, {Effect: decide.Unsafe}}}}
+		x := NewExchange(site, clock, wire)
+		modes := []decide.Mode{decide.Ready, decide.Ready}
+		list := func() {
+			x.Members(decide.Whole, []Listed{{ID: "a", Mode: modes[0]}, {ID: "b", Mode: modes[1]}})
+		}
+		list()
+		calls := map[int]*model{}
+		leaving := false
+		for ; len(steps) >= 3; steps = steps[3:] {
+			op, who, arg := steps[0]%14, int(steps[1]%4), int(steps[2])
+			m, now := calls[who], clock.Now()
+			if m == nil && op != 0 && op != 9 && op != 10 && op != 13 {
+				continue
+			}
+			live := m != nil && m.state == Trying && !m.canceled
+			switch op {
+			case 0:
+				if m == nil {
+					m = &model{client: &side{}, deadline: now + 1000}
+					m.call = x.Open(Ask{Class: decide.Class(who % 2), Left: 1000}, m.client)
+					if calls[who] = m; leaving {
+						m.state, m.answer = Ended, Refused
+					}
+				}
+			case 1:
+				tries := len(wire.tries)
+				x.send(m.call.ID, decide.Backend(arg%2), float64(arg))
+				allowed := m.state == Held && !m.out && m.sends < 3 && !(m.mayRun && who%2 == 1)
+				if allowed != (len(wire.tries) == tries+1) {
+					t.Fatalf("send in %+v: tried %v", m, !allowed)
+				}
+				if allowed {
+					m.state, m.out, m.attached, m.canceled, m.to = Trying, true, false, false, arg%2
+					m.sends++
+					if m.until = m.deadline; arg != 0 {
+						m.until = min(m.until, now+float64(arg))
+					}
+				}
+			case 2:
+				if got := m.call.Attach(m.sends-1, &side{}); got != live {
+					t.Fatalf("attach in %+v: %v", m, got)
+				}
+				m.attached = m.attached || live
+			case 3:
+				if got, want := m.call.Begin(m.sends-1), live && modes[m.to] == decide.Ready && now < m.until; got != want {
+					t.Fatalf("begin in %+v: %v", m, got)
+				}
+			case 4:
+				if !m.attached && live { // no side says up before it has attached
+					continue
+				}
+				if got := m.call.Up(m.sends-1) != nil; got != live {
+					t.Fatalf("up in %+v: %v", m, got)
+				}
+				if live {
+					m.state, m.moving = Up, leaving
+				}
+			case 5:
+				m.call.Over(m.sends-1, decide.Status(arg%8), decide.NoReport)
+				if m.out {
+					m.outcomes++
+					m.out = false
+					status := decide.Status(arg % 8)
+					m.mayRun = m.mayRun || !status.NeverRan()
+					switch m.state {
+					case Trying:
+						m.state = Held
+					case Up:
+						m.state = Ended
+					}
+				}
+			case 6:
+				m.call.Leave(Ending(arg % 2))
+				m.state = Ended
+			case 7:
+				x.move(m.call.ID)
+				m.moving = m.moving || m.state == Up
+			case 8, 12:
+				kind := Refused + AnswerKind(arg%2)
+				if op == 12 {
+					kind = Failed
+					x.overdue(m.call.ID)
+				} else {
+					x.finish(m.call.ID, Answer{Kind: kind})
+				}
+				if m.state == Held || m.state == Trying {
+					m.state, m.answer = Ended, kind
+				}
+			case 9:
+				modes[who%2] = decide.Mode(arg % 3)
+				list()
+			case 10:
+				clock.Set(now + float64(arg*4))
+			case 11:
+				x.cancel(m.call.ID, m.sends-1)
+				m.canceled = m.canceled || m.state == Trying
+			case 13:
+				x.Drain()
+				leaving = true
+			}
+			outcomes := map[decide.RequestID]int{}
+			for _, ev := range x.inbox {
+				if o, ok := ev.(decide.Outcome); ok && o.Status != decide.Moot {
+					outcomes[o.ID]++
+				}
+			}
+			for who, m := range calls {
+				state, answer := m.call.State()
+				if state != m.state || answer.Kind != m.answer || m.call.out != m.out {
+					t.Fatalf("after step %d: request %d is %v %+v, out %v; want %+v", op, who, state, answer, m.call.out, m)
+				}
+				if moving, _ := m.call.Moving(); moving != m.moving {
+					t.Fatalf("request %d: moving %v", who, moving)
+				}
+				if (m.state == Up || m.state == Ended) != isClosed(m.call.Settled()) {
+					t.Fatalf("request %d in %v: settled is wrong", who, m.state)
+				}
+				if outcomes[m.call.ID] > m.outcomes {
+					t.Fatalf("request %d: %d outcomes told of %d", who, outcomes[m.call.ID], m.outcomes)
+				}
+				if _, kept := x.calls[m.call.ID]; kept == (m.state == Ended && !m.out) {
+					t.Fatalf("request %d in %v is kept: %v", who, m.state, kept)
+				}
+			}
+		}
+	})
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+type noList struct{ watches int }
+
+func (n *noList) Watch() { n.watches++ }
+func (n *noList) Fetch() {}
+
+// bench is a core on a clock that stands still.
+func bench(t *testing.T) (*Core, *side, *Clock) {
+	t.Helper()
+	clock, wire := NewSetClock(), &side{}
+	site := &Site{Settings: decide.Settings{Relays: 1, Zones: 1, MaxAttempts: 2, Probes: true, RetryAfter: true, Ask: true,
+		MaxRetryAfter: Duration(1000), Tick: Duration(5),
+		Classes: []decide.ClassInfo{{Aim: Duration(300), Deadline: Duration(1000), Message: Duration(50)}}}}
+	x := NewExchange(site, clock, wire)
+	x.Members(decide.Cached, []Listed{{ID: "a", Address: "127.0.0.1:1", Mode: decide.Ready}})
+	c := NewCore(x, 7, &noList{}, zerolog.Nop())
+	c.Step()
+	return c, wire, clock
+}
+
+// advance lets time pass in ticks.
+func advance(c *Core, clock *Clock, ms float64) {
+	for end := clock.Now() + ms; clock.Now() < end; {
+		clock.Set(clock.Now() + 5)
+		c.Step()
+	}
+}
+
+func TestCorePlacesAfterAProbe(t *testing.T) {
+	c, wire, clock := bench(t)
+	client := &side{}
+	call := c.x.Open(Ask{Left: 1000}, client)
+	advance(c, clock, 20)
+	if len(wire.tries) != 1 || wire.probes != 1 {
+		t.Fatalf("%d tries, %d probes", len(wire.tries), wire.probes)
+	}
+	call.Attach(0, &side{})
+	if !call.Begin(0) || call.Up(0) == nil {
+		t.Fatal("the attempt may not go on")
+	}
+	advance(c, clock, 5000)
+	if state, _ := call.State(); state != Up {
+		t.Fatalf("state %v", state)
+	}
+}
+
+// A request the module gave up on is answered at once, with a time to come again, not near its deadline.
+func TestCoreRefusesAtOnce(t *testing.T) {
+	c, wire, clock := bench(t)
+	c.x.Members(decide.Delta, []Listed{{ID: "a", Mode: decide.GoneMode}})
+	call := c.x.Open(Ask{Left: 1000}, &side{})
+	advance(c, clock, 10)
+	if state, a := call.State(); state != Ended || a.Kind != Refused || len(wire.tries) != 0 {
+		t.Fatalf("state %v, answer %+v, %d tries", state, a, len(wire.tries))
+	}
+}
+
+// The backstop: an attempt whose end is never told must not leave its client without an answer.
+func TestCoreAnswersByTheDeadline(t *testing.T) {
+	c, _, clock := bench(t)
+	call := c.x.Open(Ask{Left: 1000}, &side{})
+	advance(c, clock, 1000)
+	if state, _ := call.State(); state == Ended {
+		t.Fatal("answered too early")
+	}
+	advance(c, clock, overdueAfter+5)
+	if state, a := call.State(); state != Ended || a.Kind != Failed {
+		t.Fatalf("state %v, answer %+v", state, a)
+	}
+}
+
+// A line that nothing comes back for tells of a silent server; at 7 s the connection would be lost.
+func TestCoreMovesOffASilentServer(t *testing.T) {
+	c, _, clock := bench(t)
+	call := c.x.Open(Ask{Left: 1000}, &side{})
+	advance(c, clock, 20)
+	remote := &side{}
+	call.Attach(0, remote)
+	call.Begin(0)
+	call.Up(0)
+	for range 3 { // lines that come back at once
+		call.Asked()
+		advance(c, clock, 5)
+		call.Heard()
+		advance(c, clock, 2000)
+	}
+	if moving, _ := call.Moving(); moving {
+		t.Fatal("moved off a sound server")
+	}
+	call.Asked()
+	advance(c, clock, silentAfter+sweepEvery+5)
+	if moving, silent := call.Moving(); !moving || !silent || remote.woken == 0 {
+		t.Fatalf("moving %v, silent %v, woken %d times", moving, silent, remote.woken)
+	}
+}
+
+// A module that panics on one event goes on with the next.
+func TestCoreOutlivesAPanic(t *testing.T) {
+	c, _, clock := bench(t)
+	c.handle(clock.Now(), decide.Opened{Backend: -1})
+	call := c.x.Open(Ask{Left: 1000}, &side{})
+	advance(c, clock, 20)
+	if state, _ := call.State(); state != Trying {
+		t.Fatalf("state %v", state)
+	}
+}
+
+// What starts before this program did is told on the module's clock, and long ago stays long ago.
+func TestClock(t *testing.T) {
+	c := NewSetClock()
+	now := float64(c.origin.UnixMilli())
+	if got := c.FromUnix(now - 250); got != clockStart-250 {
+		t.Errorf("started 250 ms ago: %v", got)
+	}
+	if got := c.FromUnix(0); got != 0 {
+		t.Errorf("long ago: %v", got)
+	}
+	if got := Duration(1.2346); got != 1235000 {
+		t.Errorf("1.2346 ms: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+)
+
+// TileServer is a server of the platform's protocol: it takes every connection and returns every line.
+type TileServer struct {
+	Address string
+	// Firsts gets each first line as it came, but for probes.
+	Firsts chan string
+
+	l      net.Listener
+	mu     sync.Mutex
+	answer string
+	conns  []net.Conn
+}
+
+// NewTileServer starts a server on loopback, at any port if the address ends in ":0". It answers first
+// lines with answer; "UP" gives each a receipt, "" says nothing at all, and "-" ends the connection.
+func NewTileServer(address, answer string) (*TileServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &TileServer{Address: l.Addr().String(), Firsts: make(chan string, 4096), l: l, answer: answer}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	return s, nil
+}
+
+// Close ends the server and resets its connections.
+func (s *TileServer) Close() {
+	s.l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// Say sends a line on every connection; it ends them after it if last is set.
+func (s *TileServer) Say(line string, last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		fmt.Fprintf(c, "%s\r\n", line)
+		if last {
+			c.(*net.TCPConn).CloseWrite()
+		}
+	}
+}
+
+func (s *TileServer) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for up := false; ; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		switch text := strings.TrimRight(line, "\r\n"); {
+		case text == "PING" || text == "STATS":
+			fmt.Fprint(c, "PONG x0=0.2,qps=3,queue=0\r\n")
+		case up:
+			fmt.Fprint(c, line)
+		case !strings.HasPrefix(text, "OPEN "):
+			fmt.Fprint(c, "SYNTAX\r\n")
+			return
+		default:
+			s.Firsts <- text
+			switch s.answer {
+			case "":
+			case "-":
+				return
+			case "UP":
+				fmt.Fprintf(c, "UP %s\r\n", strings.Fields(text)[1])
+				up = true
+			default:
+				fmt.Fprintf(c, "%s\r\n", s.answer)
+				return
+			}
+		}
+	}
+}
+
+// Discovery is the platform's list of servers.
+type Discovery struct {
+	Address string
+
+	mu      sync.Mutex
+	version int
+	list    map[string]string // an entry's JSON by its id
+	changed []chan string
+}
+
+// NewDiscovery starts discovery on loopback.
+func NewDiscovery(address string) (*Discovery, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{Address: l.Addr().String(), version: 1, list: map[string]string{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	return d, nil
+}
+
+// Entry is one line of the list.
+func Entry(id, address, lifecycle string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"hall-a","lifecycle":%q,"startedAtMs":0}`, id, address, lifecycle)
+}
+
+// Set changes one entry and tells every watch.
+func (d *Discovery) Set(id, address, lifecycle string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	d.list[id] = Entry(id, address, lifecycle)
+	for _, w := range d.changed {
+		w <- d.text(false, d.list[id])
+	}
+}
+
+func (d *Discovery) text(whole bool, entries string) string {
+	return fmt.Sprintf("{\"generation\":%d,\"reset\":%v,\"instances\":[%s]}\n", d.version, whole, entries)
+}
+
+// Whole is the whole list.
+func (d *Discovery) Whole() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []string
+	for _, e := range d.list {
+		all = append(all, e)
+	}
+	return d.text(true, strings.Join(all, ","))
+}
+
+func (d *Discovery) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	first, err := in.ReadString('\n')
+	for line := first; err == nil && strings.TrimSpace(line) != ""; line, err = in.ReadString('\n') {
+	}
+	whole := d.Whole()
+	if !strings.Contains(first, "watch=1") {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
+		return
+	}
+	changes := make(chan string, 64)
+	d.mu.Lock()
+	d.changed = append(d.changed, changes)
+	d.mu.Unlock()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(whole), whole)
+	for text := range changes {
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+	}
+}
--- /dev/null
+++ b/internal/wire/platform/platform_test.go
@@ -0,0 +1,261 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/standin"
+)
+
+func TestOpening(t *testing.T) {
+	cases := []struct {
+		name, in, out string // what goes on with 70 ms left; "" if nothing may
+	}{
+		{"as clients send it", "OPEN a1 0f c=m,t=x,d=2000,g=5c", "OPEN a1 0f c=m,t=x,d=70,g=5c\r\n"},
+		{"d at the end", "OPEN a1 0f c=m,d=2000", "OPEN a1 0f c=m,d=70\r\n"},
+		{"unknown fields stay", "OPEN a1 0f c=m,d=9,q=z,again=1,h=2.5", "OPEN a1 0f c=m,d=70,q=z,again=1,h=2.5\r\n"},
+		{"from before the run", "OPEN a1 0f c=m,at=s-1", "OPEN a1 0f c=m,at=s-1\r\n"},
+		{"no class", "OPEN a1 0f d=2000", ""},
+		{"no wait", "OPEN a1 0f c=m", ""},
+		{"a wait that is none", "OPEN a1 0f c=m,d=NaN", ""},
+		{"a negative wait", "OPEN a1 0f c=m,d=-1", ""},
+		{"a field without a value", "OPEN a1 0f c=m,d=7,x", ""},
+		{"too few parts", "OPEN a1 c=m,d=7", ""},
+		{"two blanks", "OPEN a1  0f c=m,d=7", ""},
+		{"control character", "OPEN a1 0f c=m,d=7,x=\x01", ""},
+		{"another word", "SHUT a1 0f c=m,d=7", ""},
+	}
+	for _, c := range cases {
+		o, err := parseOpening([]byte(c.in + "\r\n"))
+		got := ""
+		if err == nil {
+			got = string(o.line(70))
+		}
+		if got != c.out {
+			t.Errorf("%s: %q, %v", c.name, got, err)
+		}
+	}
+}
+
+// Whatever a client sends, what goes on is its own line but for d.
+func FuzzOpening(f *testing.F) {
+	f.Add("OPEN a1 0f c=m,t=x,d=2000,g=5c")
+	f.Add("OPEN a1 0f c=m,d=1,d=2")
+	f.Fuzz(func(t *testing.T, line string) {
+		o, err := parseOpening([]byte(line))
+		if err != nil {
+			return
+		}
+		again, err := parseOpening(o.line(70))
+		if err != nil || again.class != o.class || again.at != o.at || o.at == "" && again.left != 70 {
+			t.Errorf("%q goes on as %q: %v", line, o.line(70), err)
+		}
+	})
+}
+
+// A read that a deadline cuts short loses nothing, and a line over 4 KiB comes in parts.
+func TestLines(t *testing.T) {
+	a, b := net.Pipe()
+	in := newLines(a)
+	long := strings.Repeat("x", 5000)
+	step := make(chan bool)
+	go func() {
+		io.WriteString(b, "half")
+		<-step
+		io.WriteString(b, " a line\r\n"+long+"\n")
+		b.Close()
+	}()
+	a.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if line, err := in.next(); err == nil || len(line) != 0 {
+		t.Fatalf("%q, %v", line, err)
+	}
+	a.SetReadDeadline(time.Time{})
+	close(step)
+	if line, err := in.next(); string(line) != "half a line\r\n" || err != nil {
+		t.Fatalf("%q, %v", line, err)
+	}
+	got := ""
+	for {
+		line, err := in.next()
+		got += string(line)
+		if err != nil && !errors.Is(err, errTooLong) {
+			break
+		}
+	}
+	if got != long+"\n" {
+		t.Errorf("%d bytes of a long line", len(got))
+	}
+}
+
+type noList struct{}
+
+func (noList) Watch() {}
+func (noList) Fetch() {}
+
+// serve starts both sides with servers that answer as told, by the id of each.
+func serve(t *testing.T, answers ...string) (address string, x *memory.Exchange, servers []*standin.TileServer) {
+	t.Helper()
+	clock := memory.NewClock()
+	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
+		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(900), Tick: memory.Duration(5),
+		ConnectTimeout: memory.Duration(1000), Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(600)}}}}
+	x = memory.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, LoadKey: "x0"})
+	var list []memory.Listed
+	for i, answer := range answers {
+		s, err := standin.NewTileServer("127.0.0.1:0", answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		servers = append(servers, s)
+		list = append(list, memory.Listed{ID: fmt.Sprint("s", i), Address: s.Address, Mode: decide.Ready})
+	}
+	x.Members(decide.Whole, list)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go (&Front{X: x, Site: site, Log: zerolog.Nop(), Room: 8}).Serve(l)
+	go memory.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
+	return l.Addr().String(), x, servers
+}
+
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address, line string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	fmt.Fprint(conn, line+"\r\n")
+	return &client{conn, bufio.NewReader(conn)}
+}
+
+// next returns the next line, "end" after a clean end, or "broken".
+func (c *client) next() string {
+	line, err := c.in.ReadString('\n')
+	switch {
+	case err == nil:
+		return strings.TrimRight(line, "\r\n")
+	case errors.Is(err, io.EOF):
+		return "end"
+	}
+	return "broken"
+}
+
+const open = "OPEN a1 0f c=m,d=500"
+
+// PROTOCOL's table: what a server does, and what the client is told of it.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct{ name, answer, line, want string }{
+		{"up", "UP", open, "UP a1"},
+		{"turned away", "BUSY", open, "BUSY"},
+		{"error", "ERR", open, "BUSY"},
+		{"ended without an answer", "-", open, "BUSY"},
+		{"silent", "", open, "BUSY"},
+		{"ping", "UP", "PING", "PONG"},
+		{"unknown class", "UP", "OPEN a1 0f c=z,d=500", "ERR bad request"},
+		{"bad first line", "UP", "GET / HTTP/1.1", "ERR bad request"},
+		{"a first line over 4 KiB", "UP", open + ",x=" + strings.Repeat("x", 5000), "ERR bad request"},
+		{"a connection from before the run", "UP", "OPEN a1 0f c=m,at=s0", "UP a1"},
+		{"one whose server is unknown", "UP", "OPEN a1 0f c=m,at=s9", "ERR"},
+	} {
+		address, _, servers := serve(t, c.answer)
+		got, _, _ := strings.Cut(dial(t, address, c.line).next(), " ")
+		want, _, _ := strings.Cut(c.want, " ")
+		if got != want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+		if len(servers[0].Firsts) > 2 || want == "ERR" && len(servers[0].Firsts) > 0 {
+			t.Errorf("%s: the server was sent %d first lines", c.name, len(servers[0].Firsts))
+		}
+	}
+}
+
+// Once up, lines pass both ways unchanged; MOVE stands between two of them, and both sides are closed.
+func TestMoveBetweenLines(t *testing.T) {
+	address, x, servers := serve(t, "UP")
+	c := dial(t, address, open)
+	if got := c.next(); got != "UP a1" {
+		t.Fatal(got)
+	}
+	fmt.Fprint(c, "M 1 first\r\n")
+	if got := c.next(); got != "M 1 first" {
+		t.Fatal(got)
+	}
+	servers[0].Say("LOAD 12.5", false)
+	if got := c.next(); got != "LOAD 12.5" {
+		t.Fatal(got)
+	}
+	fmt.Fprint(c, "M 2 unread when the move comes\r\n")
+	x.MoveSome(1)
+	got := c.next()
+	for strings.HasPrefix(got, "M ") {
+		got = c.next()
+	}
+	if got != "MOVE" || c.next() != "end" {
+		t.Errorf("after the move: %q", got)
+	}
+}
+
+// A server's end reaches the client in the same way: after its last line, or as a break.
+func TestServerEnds(t *testing.T) {
+	address, _, servers := serve(t, "UP")
+	c := dial(t, address, open)
+	c.next()
+	servers[0].Say("BYE x0=0.5", true)
+	if a, b := c.next(), c.next(); a != "BYE x0=0.5" || b != "end" {
+		t.Errorf("%q, %q", a, b)
+	}
+	c = dial(t, address, open)
+	c.next()
+	servers[0].Close()
+	if got := c.next(); got != "broken" {
+		t.Errorf("a reset came as %q", got)
+	}
+}
+
+// A client that leaves in the middle of its set-up takes its attempt along.
+func TestClientLeavesMidSetUp(t *testing.T) {
+	address, x, servers := serve(t, "")
+	c := dial(t, address, open)
+	<-servers[0].Firsts
+	c.Close()
+	for i := 0; x.MoveSome(0) > 0; i++ {
+		if i > 1000 {
+			t.Fatal("the call is kept")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Beyond the bound on descriptors a client is told so at once.
+func TestCrowded(t *testing.T) {
+	address, _, _ := serve(t, "UP")
+	for i := range 9 {
+		want := "UP a1"
+		if i == 8 {
+			want = "BUSY 500"
+		}
+		if got := dial(t, address, open).next(); got != want {
+			t.Errorf("client %d: %q", i, got)
+		}
+	}
+}
