--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -66,7 +66,7 @@
 }
 
 // Remote is the server side's end of an attempt. Close and Wake must not block. Wake says that the call is
-// to be moved, or that its server has begun to drain.
+// to be moved, that its server has begun to drain, or that the client side has left something for it.
 type Remote interface {
 	Pass(p []byte) error
 	Close(how Ending)
@@ -150,8 +150,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.post(x.roster.take(kind, list))
-	for _, c := range x.calls { // whoever is half-way set up at a server that drains now wants to know
-		if c.state == Trying && c.remote != nil && c.attempt.listed().mode != decide.Ready {
+	for _, c := range x.calls { // whoever has a connection to a server that drains now may want to know
+		if c.out && c.remote != nil && c.attempt.listed().mode != decide.Ready {
 			c.remote.Wake()
 		}
 	}
--- /dev/null
+++ b/plugin/plugin_test.go
@@ -0,0 +1,181 @@
+package plugin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	pb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+
+	"capersail/internal/standin"
+)
+
+// server is a grpc-go server that counts its unary calls; what it serves is gRPC's own health service.
+type server struct {
+	*grpc.Server
+	address string
+	calls   atomic.Int64
+}
+
+func newServer(t *testing.T) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: l.Addr().String()}
+	s.Server = grpc.NewServer(grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
+		s.calls.Add(1)
+		return h(ctx, req)
+	}))
+	pb.RegisterHealthServer(s.Server, health.NewServer())
+	go s.Serve(l)
+	t.Cleanup(s.Stop)
+	return s
+}
+
+type bench struct {
+	t  *testing.T
+	zk *standin.ZooKeeper
+	d  *Dialer
+	pb.HealthClient
+}
+
+func newBench(t *testing.T, drain float64) *bench {
+	zk, err := standin.NewZooKeeper("/rpc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := New(Config{ZooKeeper: []string{zk.Address}, Path: "/rpc", SessionMs: 3000, DrainMs: drain}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	conn, err := grpc.NewClient("passthrough:///rpc", grpc.WithContextDialer(d.Dial),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.WaitForReady(true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &bench{t, zk, d, pb.NewHealthClient(conn)}
+}
+
+func (b *bench) node(name string, s *server, lifecycle string) {
+	b.zk.Set(name, fmt.Sprintf(`{"address":%q,"lifecycle":%q}`, s.address, lifecycle))
+}
+
+func (b *bench) call() {
+	b.t.Helper()
+	ctx, stop := context.WithTimeout(b.t.Context(), 30*time.Second)
+	defer stop()
+	if _, err := b.Check(ctx, &pb.HealthCheckRequest{}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// stream begins a call that stays in flight and returns its receiving end.
+func (b *bench) stream() (func() error, context.CancelFunc) {
+	b.t.Helper()
+	ctx, stop := context.WithTimeout(b.t.Context(), 30*time.Second)
+	w, err := b.Watch(ctx, &pb.HealthCheckRequest{})
+	if err == nil {
+		_, err = w.Recv()
+	}
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return func() error { _, err := w.Recv(); return err }, stop
+}
+
+// until repeats calls until a server is met.
+func (b *bench) until(s *server) {
+	b.t.Helper()
+	for i, before := 0, s.calls.Load(); s.calls.Load() == before; i++ {
+		if i > 3000 {
+			b.t.Fatal("calls never reach the other server")
+		}
+		b.call()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A drain lets the call in flight go on, brings new ones elsewhere, and ends the connection after it.
+func TestDrain(t *testing.T) {
+	b := newBench(t, 20_000)
+	one, two := newServer(t), newServer(t)
+	b.node("one", one, "Ready")
+	b.call()
+	recv, stop := b.stream()
+	defer stop()
+	b.node("two", two, "Ready")
+	b.node("one", one, "Terminating")
+	b.until(two)
+	before := one.calls.Load()
+	for range 20 {
+		b.call()
+	}
+	if one.calls.Load() != before {
+		t.Error("a draining server was given new calls")
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- recv() }()
+	select {
+	case err := <-ended:
+		t.Fatalf("the call in flight was cut off: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	stop()
+	for i := 0; b.d.x.MoveSome(0) != 1; i++ {
+		if i > 3000 {
+			t.Fatalf("%d connections are kept", b.d.x.MoveSome(0))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// The wait for calls in flight is bounded.
+func TestDrainIsBounded(t *testing.T) {
+	b := newBench(t, 100)
+	one, two := newServer(t), newServer(t)
+	b.node("one", one, "Ready")
+	recv, stop := b.stream()
+	defer stop()
+	b.node("two", two, "Ready")
+	b.node("one", one, "Terminating")
+	if err := recv(); status.Code(err) != codes.Unavailable {
+		t.Errorf("the call in flight ended with %v", err)
+	}
+	b.until(two)
+}
+
+// A server that dies is left by gRPC through the core.
+func TestKilled(t *testing.T) {
+	b := newBench(t, 1000)
+	one, two := newServer(t), newServer(t)
+	b.node("one", one, "Ready")
+	b.call()
+	b.node("two", two, "Ready")
+	one.Stop()
+	b.until(two)
+}
+
+func TestRefused(t *testing.T) {
+	b := newBench(t, 1000)
+	_, err := b.d.Dial(t.Context(), "")
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		t.Fatalf("without a server: %v", err)
+	}
+	if _, err := New(Config{}, zerolog.Nop()); err == nil {
+		t.Error("a configuration without addresses is taken")
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Formatting, vet, build and all tests.
+# Formatting, vet, build and all tests; with the race detector where there is more than one goroutine.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -9,4 +9,5 @@
 fi
 go vet ./...
 go build ./...
-go test ./...
+go test ./decide
+go test -race $(go list ./... | grep -v '/decide$')
