Move off a busy server sooner where no delay is told

At fault: look() waits for hotLoad, which was set for sites where a note of late messages decides as well; on sockets the reading is all there is. Now halfway between fullLoad and hotLoad there; with notes as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,7 +563,7 @@
 			b.probe(id)
 			return
 		}
-	case s.load > hotLoad && (!b.set.TellsDelay || b.now < s.lagTill): // a late report is not enough
+	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+fullLoad)/2: // sooner blind
 		part = (s.load - fullLoad) / s.load
 	default:
 		return
