--- a/decide/decide.go
+++ b/decide/decide.go
@@ -533,8 +533,8 @@
 		}
 	case wakeWatch:
 		b.watching = false
-		for i := range b.fleet { // without notes of late messages, one that was busy is watched by itself
-			if s := &b.fleet[i]; len(s.held) > 0 && (b.mean > busyLoad || !b.set.TellsDelay && s.load > busyLoad) {
+		for i, dark := 0, !b.set.TellsDelay; i < len(b.fleet); i++ { // then one busy or unread is watched too
+			if s := &b.fleet[i]; len(s.held) > 0 && (b.mean > busyLoad || dark && (s.load == 0 || s.load > busyLoad)) {
 				b.probe(Backend(i))
 			}
 		}
@@ -563,7 +563,7 @@
 			b.probe(id)
 			return
 		}
-	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+fullLoad)/2: // sooner blind
+	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+fullLoad)/2:
 		part = (s.load - fullLoad) / s.load
 	default:
 		return
