Follow SIGHUP: read the configuration again, follow discovery to another address

Checked in the code: only SIGTERM and SIGINT were handled, so SIGHUP's default ended the program; discovery had one fixed address and would have asked another service for changes after the old one's version. Now signals are taken before anything else; a reload checks the whole file, then ends the old watch and takes the new service's list whole, then watches it, without a back-off. XMPP's file is read again the same way. limits of the wrong type are refused by key. A silent watch is given up after 3.5 s, not 5 (a line is due each 2 s, told by 6 s). Found on the way: a watch asked for while one was out was answered twice, so the module asked twice from then on. TestReload and TestSetAddress fail without the change.

--- a/cmd/capersail/main.go
+++ b/cmd/capersail/main.go
@@ -14,28 +14,17 @@
 )
 
 func main() {
+	signals := lifecycle.Signals() // before all else: a SIGHUP that comes early must not end the program
 	operator := flag.String("xmpp", "", "operator's `file` for the XMPP front; off without it")
 	flag.Parse()
-	if err := run(*operator); err != nil {
+	if err := run(*operator, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "capersail:", err)
 		os.Exit(1)
 	}
 }
 
-func run(operator string) error {
+func run(operator string, signals <-chan os.Signal) error {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	var config *lifecycle.Config
-	var xmpp *lifecycle.Operator
-	var err error
-	if operator != "" {
-		if xmpp, err = lifecycle.ReadOperator(operator); err != nil {
-			return err
-		}
-	}
-	if operator == "" || os.Getenv("LB_CONFIG") != "" {
-		if config, err = lifecycle.ReadConfig(os.Getenv, log); err != nil {
-			return err
-		}
-	}
-	return lifecycle.Run(context.Background(), config, xmpp, log)
+	from := lifecycle.Sources{Getenv: os.Getenv, Operator: operator}
+	return lifecycle.Run(context.Background(), from, signals, log)
 }
--- a/cmd/capersail/main_test.go
+++ b/cmd/capersail/main_test.go
@@ -78,8 +78,34 @@
 
 const open = "OPEN 9b1f 7f3a c=map-stream,t=acme,d=2000"
 
-// The program on its sockets: it serves, follows a drain, and at SIGTERM moves everyone and exits in order.
-func TestProgram(t *testing.T) {
+// start starts the program and returns its address and, as they come, the messages it logs with their errors.
+func start(t *testing.T, config string) (*exec.Cmd, string, <-chan string) {
+	t.Helper()
+	cmd := program(t, config)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	said, address := make(chan string, 1024), make(chan string, 1)
+	go func() {
+		defer close(said)
+		for lines := bufio.NewScanner(logs); lines.Scan(); {
+			var l struct{ Message, Listen, Error string }
+			if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "serving" {
+				address <- l.Listen
+			}
+			said <- l.Message + ": " + l.Error
+		}
+	}()
+	return cmd, <-address, said
+}
+
+// stage is a discovery service that knows one server.
+func stage(t *testing.T, id string) (*standin.Discovery, *standin.TileServer) {
+	t.Helper()
 	d, err := standin.NewDiscovery("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -88,30 +114,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.Close()
-	d.Set("s1", s.Address, "Ready")
-	cmd := program(t, configure(t, func(c map[string]any) {
+	t.Cleanup(s.Close)
+	d.Set(id, s.Address, "Ready")
+	return d, s
+}
+
+// The program on its sockets: it serves, follows a drain, and at SIGTERM moves everyone and exits in order.
+func TestProgram(t *testing.T) {
+	d, s := stage(t, "s1")
+	cmd, address, _ := start(t, configure(t, func(c map[string]any) {
 		c["listen"], c["discovery"] = "127.0.0.1:0", d.Address
 		c["known"] = json.RawMessage(d.Whole())
 	}))
-	logs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	address, lines := "", bufio.NewScanner(logs)
-	for address == "" && lines.Scan() {
-		var l struct{ Message, Listen string }
-		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "serving" {
-			address = l.Listen
-		}
-	}
-	go func() {
-		for lines.Scan() {
-		}
-	}()
 	c := dial(t, address)
 	c.ask(t, "PING", "PONG")
 	c.ask(t, open, "UP")
@@ -147,13 +161,77 @@
 	}
 }
 
+// SIGHUP: another discovery is followed while connections stand, a file that cannot be used changes nothing,
+// and no SIGHUP ends the program, not even one on top of SIGTERM.
+func TestReload(t *testing.T) {
+	old, s1 := stage(t, "s1")
+	next, s2 := stage(t, "s2")
+	path := configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = "127.0.0.1:0", old.Address
+		c["known"] = json.RawMessage(old.Whole())
+	})
+	cmd, address, said := start(t, path)
+	hangUp := func(text []byte, want string) {
+		t.Helper()
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for line := range said {
+			if strings.HasPrefix(line, "reloaded") || strings.HasPrefix(line, "the new configuration") {
+				if !strings.Contains(line, want) {
+					t.Errorf("%.40q: %q, want %q", text, line, want)
+				}
+				return
+			}
+		}
+		t.Fatal("the program has ended")
+	}
+	c := dial(t, address)
+	c.ask(t, open, "UP")
+	<-s1.Firsts
+	good, _ := os.ReadFile(path)
+	hangUp(nil, "LB_CONFIG: ")
+	hangUp([]byte(strings.Replace(string(good), old.Address, "nowhere", 1)), "discovery: ")
+	k := dial(t, address)
+	k.ask(t, strings.Replace(open, "9b1f", "9b20", 1), "UP")
+	<-s1.Firsts
+	hangUp([]byte(strings.Replace(string(good), old.Address, next.Address, 1)), "reloaded")
+	for i := 0; len(s2.Firsts) == 0; i++ { // the news takes its time
+		if i > 2000 {
+			t.Fatal("the new discovery is not followed")
+		}
+		fmt.Fprintf(dial(t, address), "OPEN r%d 7f3a c=map-stream,t=acme,d=2000\r\n", i)
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.ask(t, "M 1 still here", "M")
+	cmd.Process.Signal(syscall.SIGTERM)
+	for line := range said {
+		if strings.HasPrefix(line, "leaving") {
+			cmd.Process.Signal(syscall.SIGHUP)
+			break
+		}
+	}
+	go func() {
+		for range said {
+			cmd.Process.Signal(syscall.SIGHUP)
+		}
+	}()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
 // Bad configuration: one plain message that names the key, and exit 1.
 func TestBadConfiguration(t *testing.T) {
 	for key, change := range map[string]func(map[string]any){
 		"listen":           func(c map[string]any) { c["listen"] = "nowhere" },
 		"discovery":        func(c map[string]any) { c["discovery"] = 7 },
 		"seed":             func(c map[string]any) { c["seed"] = "no number" },
-		"limits":           func(c map[string]any) { c["limits"] = map[string]any{"sockets": -1} },
+		"limits.sockets":   func(c map[string]any) { c["limits"] = map[string]any{"sockets": -1} },
+		"limits.memory_mb": func(c map[string]any) { c["limits"] = map[string]any{"memory_mb": "64"} },
 		"settings":         func(c map[string]any) { delete(c, "settings") },
 		"settings.classes": func(c map[string]any) { c["settings"] = map[string]any{} },
 		"known":            func(c map[string]any) { c["known"] = map[string]any{"instances": 7} },
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -25,6 +25,7 @@
 	Sockets   int
 	Known     *discovery.List
 	Site      *memory.Site
+	settings  string // as the file has them, to tell whether a new file changes them
 }
 
 // ReadConfig reads the platform's configuration: the file that LB_CONFIG names, and the variables that
@@ -42,6 +43,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
 	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, fmt.Errorf("LB_CONFIG: %s: an object is wanted", path)
+	}
 	read := func(key, variable string) string {
 		if s := string(v.GetStringBytes(key)); s != "" {
 			return s
@@ -60,8 +64,10 @@
 			return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", seed)
 		}
 	}
-	if c.MemoryMB < 0 || c.Sockets < 0 {
-		return nil, fmt.Errorf("limits: memory_mb and sockets must not be negative")
+	for _, key := range []string{"cores", "memory_mb", "sockets"} {
+		if limit := v.Get("limits", key); limit != nil && (limit.Type() != fastjson.TypeNumber || limit.GetFloat64() < 0) {
+			return nil, fmt.Errorf("limits.%s: %s is not a number from 0 on", key, limit)
+		}
 	}
 	settings := v.Get("settings")
 	if settings == nil || settings.Type() != fastjson.TypeObject {
@@ -70,6 +76,7 @@
 	if len(settings.GetArray("classes")) == 0 {
 		return nil, fmt.Errorf("settings.classes: at least one class is wanted")
 	}
+	c.settings = settings.String()
 	c.Site = wire.DecodeSettings(settings)
 	c.Known = &discovery.List{}
 	if known := v.Get("known"); known != nil {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -47,6 +47,8 @@
 	listener net.Listener
 	failed   chan error
 	longest  float64 // the longest deadline of its classes
+	// reload reads the front's file again and hands each part its new value. Nothing has changed if it fails.
+	reload func() error
 }
 
 func longest(site *memory.Site) (ms float64) {
@@ -56,15 +58,39 @@
 	return ms
 }
 
-// Run serves until SIGTERM or SIGINT, then moves everyone, answers what is held, and returns. Either of
-// the two fronts may be absent.
-func Run(ctx context.Context, c *Config, o *Operator, log zerolog.Logger) error {
+// Signals returns the signals that Run follows. They are never given back: after its end, too, a SIGHUP on
+// its way must not make the program's exit a failure.
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// Sources say where the configuration comes from.
+type Sources struct {
+	Getenv   func(string) string // for LB_CONFIG, which names the platform's file, and what stands in for its keys
+	Operator string              // the operator's file for the XMPP front; off if empty
+}
+
+// Run serves until SIGTERM or SIGINT, then moves everyone, answers what is held, and returns. At SIGHUP
+// it reads its files again. Either of the two fronts may be absent.
+func Run(ctx context.Context, from Sources, signals <-chan os.Signal, log zerolog.Logger) error {
+	var c *Config
+	var o *Operator
+	var err error
+	if from.Operator != "" {
+		if o, err = ReadOperator(from.Operator); err != nil {
+			return err
+		}
+	}
+	if from.Operator == "" || from.Getenv("LB_CONFIG") != "" {
+		if c, err = ReadConfig(from.Getenv, log); err != nil {
+			return err
+		}
+	}
 	limit(c)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 
 	var relays []*relay
 	failed := make(chan error, 2)
@@ -77,36 +103,65 @@
 		return nil
 	}
 	if c != nil {
-		if err := add(startPlatform(ctx, c, log)); err != nil {
+		if err := add(startPlatform(ctx, from, c, log)); err != nil {
 			return err
 		}
 	}
 	if o != nil {
-		if err := add(startXMPP(ctx, o, log)); err != nil {
+		if err := add(startXMPP(ctx, from, o, log)); err != nil {
 			return fmt.Errorf("xmpp: %w", err)
 		}
 	}
-	select {
-	case s := <-signals:
-		log.Info().Str("signal", s.String()).Msg("leaving")
-	case <-ctx.Done():
-	case err := <-failed:
-		return fmt.Errorf("accept: %w", err)
+	if err := wait(ctx, relays, signals, failed, log); err != nil {
+		return err
 	}
-	var all sync.WaitGroup
-	for _, r := range relays {
-		all.Go(func() {
-			leave(r)
-			r.listener.Close()
-		})
+	left := make(chan struct{})
+	go func() {
+		var all sync.WaitGroup
+		for _, r := range relays {
+			all.Go(func() {
+				leave(r)
+				r.listener.Close()
+			})
+		}
+		all.Wait()
+		close(left)
+	}()
+	for {
+		select {
+		case s := <-signals:
+			log.Info().Str("signal", s.String()).Msg("leaving already; ignored")
+		case <-left:
+			log.Info().Msg("done")
+			return nil
+		}
+	}
+}
+
+// wait follows signals until it is time to leave. A file that cannot be used changes nothing.
+func wait(ctx context.Context, relays []*relay, signals <-chan os.Signal, failed <-chan error, log zerolog.Logger) error {
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.Info().Str("signal", s.String()).Msg("leaving")
+				return nil
+			}
+			for _, r := range relays {
+				if err := r.reload(); err != nil {
+					log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays in force")
+				}
+			}
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return fmt.Errorf("accept: %w", err)
+		}
 	}
-	all.Wait()
-	log.Info().Msg("done")
-	return nil
 }
 
 // startPlatform starts the platform's front.
-func startPlatform(ctx context.Context, c *Config, log zerolog.Logger) (*relay, error) {
+func startPlatform(ctx context.Context, from Sources, c *Config, log zerolog.Logger) (*relay, error) {
 	// The simulator's note of slow messages has no line on the sockets: under a load of 1.3 the clients' own
 	// lines still come back within 0.3 ms. The module is to know that a reading is all it will get.
 	c.Site.Settings.TellsDelay = false
@@ -127,6 +182,17 @@
 	go lister.Run(ctx, c.Known.Version)
 	go memory.NewCore(x, c.Seed, lister, log).Run(ctx)
 	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(c.Site)}
+	r.reload = func() error {
+		n, err := ReadConfig(from.Getenv, log)
+		if err != nil {
+			return err
+		}
+		lister.SetAddress(n.Discovery)
+		limit(n)
+		log.Info().Str("discovery", n.Discovery).Int("memory_mb", n.MemoryMB).Int("sockets", n.Sockets).
+			Bool("needs_restart", n.Name != c.Name || n.Listen != c.Listen || n.settings != c.settings).Msg("reloaded")
+		return nil
+	}
 	go func() { r.failed <- front.Serve(l) }()
 	log.Info().Str("name", c.Name).Str("listen", l.Addr().String()).Int("servers", len(c.Known.Entries)).Msg("serving")
 	return r, nil
--- a/internal/lifecycle/xmpp.go
+++ b/internal/lifecycle/xmpp.go
@@ -139,31 +139,63 @@
 	return site, hosts
 }
 
+func (o *Operator) ensemble() zookeeper.Ensemble {
+	return zookeeper.Ensemble{Addresses: o.ZooKeeper.Servers, Path: o.ZooKeeper.Path, Session: o.ZooKeeper.SessionMs}
+}
+
+// secure loads what STARTTLS needs; nil only where plaintext is allowed.
+func (o *Operator) secure() (*tls.Config, error) {
+	if o.Certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+	if err != nil {
+		return nil, fmt.Errorf("certificate: %w", err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// fixed is what of the file a reload does not take in: the module's settings and the address.
+func (o *Operator) fixed() string {
+	return fmt.Sprint(o.Listen, o.Zone, o.Zones, o.Me, o.Relays, o.SilentMs, o.ConnectMs, o.MaxRetryMs, o.Class, o.Host)
+}
+
 // startXMPP starts the XMPP front with a core of its own.
-func startXMPP(ctx context.Context, o *Operator, log zerolog.Logger) (*relay, error) {
+func startXMPP(ctx context.Context, from Sources, o *Operator, log zerolog.Logger) (*relay, error) {
 	site, hosts := o.Site()
-	var secure *tls.Config
-	if o.Certificate != "" {
-		pair, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
-		if err != nil {
-			return nil, fmt.Errorf("certificate: %w", err)
-		}
-		secure = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	secure, err := o.secure()
+	if err != nil {
+		return nil, err
 	}
 	clock := memory.NewClock()
 	servers := &xmpp.Servers{Clock: clock, ConnectTimeout: o.ConnectMs, ProbeTo: o.Host[0].To, Silent: o.SilentMs, Log: log}
 	x := memory.NewExchange(site, clock, servers)
-	lister := zookeeper.NewClient(o.ZooKeeper.Servers, o.ZooKeeper.Path, o.ZooKeeper.SessionMs, x, log)
+	lister := zookeeper.NewClient(o.ensemble(), x, log)
 	x.Members(decide.Cached, nil)
 	lister.Watch() // there is no cached list to begin with
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	front := &xmpp.Front{X: x, Hosts: hosts, TLS: secure, Log: log, Room: int64(o.Sockets-spareSockets) / 2}
+	front := &xmpp.Front{X: x, Hosts: hosts, Log: log, Room: int64(o.Sockets-spareSockets) / 2}
+	front.TLS.Store(secure)
 	go lister.Run(ctx)
 	go memory.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
 	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(site)}
+	r.reload = func() error {
+		n, err := ReadOperator(from.Operator)
+		if err != nil {
+			return err
+		}
+		secure, err := n.secure()
+		if err != nil {
+			return fmt.Errorf("%s: %w", from.Operator, err)
+		}
+		lister.Move(n.ensemble())
+		front.TLS.Store(secure)
+		log.Info().Strs("zookeeper", n.ZooKeeper.Servers).Bool("needs_restart", n.fixed() != o.fixed()).Msg("reloaded XMPP")
+		return nil
+	}
 	go func() { r.failed <- front.Serve(l) }()
 	log.Info().Str("listen", l.Addr().String()).Msg("serving XMPP")
 	return r, nil
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fastjson"
@@ -23,7 +24,7 @@
 const (
 	connectWithin = 1000.0
 	headWithin    = 4000.0  // discovery works through calls in turn; one that waited too long ends with 503
-	quietWithin   = 5000.0  // a watch brings a line at least every 2 s; what it has to tell counts after 6 s
+	quietWithin   = 3500.0  // a watch brings a line at least every 2 s; what it has to tell counts after 6 s
 	maxList       = 8 << 20 // bytes of one list
 	maxLine       = 4096    // of a head
 )
@@ -37,16 +38,51 @@
 
 // Client asks discovery. The module says when; it also draws the jittered wait after a failed call.
 type Client struct {
-	Address string
-	X       *memory.Exchange
-	Log     zerolog.Logger
+	clock *memory.Clock
+	tell  func(decide.ListKind, []memory.Listed)
+	log   zerolog.Logger
+	asks  chan bool     // true for a watch, false for the whole list
+	moved chan struct{} // holds one token while a new address waits to be followed
 
-	asks chan bool // true for a watch, false for the whole list
+	mu      sync.Mutex
+	address string
+	hangUp  context.CancelFunc // ends the call that is out
 }
 
-// NewClient returns a client that holds the list as it was at version.
+// NewClient returns a client of the service at an address.
 func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
-	return &Client{Address: address, X: x, Log: log, asks: make(chan bool, 8)}
+	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
+}
+
+// SetAddress follows discovery to another address at once. The call that is out is ended, and the module
+// does not hear of it: nothing has failed, and a back-off would delay news that counts as told 4 s later.
+func (c *Client) SetAddress(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.address {
+		return
+	}
+	c.address = address
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+	if c.hangUp != nil {
+		c.hangUp()
+	}
+}
+
+// begin takes up the present address for one call, and tells whether it is a new one.
+func (c *Client) begin(ctx context.Context) (call context.Context, address string, moved bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call, c.hangUp = context.WithCancel(ctx)
+	select {
+	case <-c.moved:
+		moved = true
+	default:
+	}
+	return call, c.address, moved
 }
 
 // Watch asks for changes from now on.
@@ -59,45 +95,77 @@
 	select {
 	case c.asks <- watch:
 	default: // so many calls wait already that one more brings nothing new; each is answered once
-		go c.X.Members(decide.Failed, nil)
+		go c.tell(decide.Failed, nil)
 	}
 }
 
+// anew is the version of a list that cannot be compared: another service counts its own.
+const anew = -1
+
 // Run carries calls out, one after the other, until the context ends. version is that of the list held.
 func (c *Client) Run(ctx context.Context, version int64) {
+	for watch, moved := false, false; ; moved = len(c.moved) > 0 {
+		if !moved {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.moved:
+				moved = true
+			case watch = <-c.asks:
+			}
+		}
+		call, address, newer := c.begin(ctx)
+		if moved || newer { // its list is taken whole, then watched
+			watch, version = true, anew
+		}
+		err := c.visit(call, address, watch, &version)
+		c.hangUp()
+		if ctx.Err() != nil {
+			return
+		}
+		if len(c.moved) == 0 && (watch || err != nil) {
+			c.log.Info().Err(err).Bool("watch", watch).Msg("discovery call ended")
+			c.settle()
+			c.tell(decide.Failed, nil)
+		}
+	}
+}
+
+// settle drops what was asked for while a call was out. Its end answers that too: each answer makes the
+// module ask once more, so answering twice would have it ask twice as often for good.
+func (c *Client) settle() {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-c.asks:
+		default:
 			return
-		case watch := <-c.asks:
-			path := "/v1/endpoints"
-			if watch {
-				path = fmt.Sprintf("/v1/endpoints?watch=1&after=%d", version)
-			}
-			err := c.call(ctx, path, &version)
-			if ctx.Err() != nil {
-				return
-			}
-			if watch || err != nil {
-				c.Log.Info().Err(err).Bool("watch", watch).Msg("discovery call ended")
-				c.X.Members(decide.Failed, nil)
-			}
 		}
 	}
 }
 
+// visit makes the calls that one ask stands for.
+func (c *Client) visit(ctx context.Context, address string, watch bool, version *int64) error {
+	const path = "/v1/endpoints"
+	if *version == anew || !watch {
+		if err := c.call(ctx, address, path, version); err != nil || !watch {
+			return err
+		}
+	}
+	return c.call(ctx, address, fmt.Sprintf("%s?watch=1&after=%d", path, *version), version)
+}
+
 // call makes one call and takes in every list that it brings.
-func (c *Client) call(ctx context.Context, path string, version *int64) error {
+func (c *Client) call(ctx context.Context, address, path string, version *int64) error {
 	d := net.Dialer{Timeout: memory.Duration(connectWithin)}
-	conn, err := d.DialContext(ctx, "tcp", c.Address)
+	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial: %w", err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	within := func(ms float64) { conn.SetDeadline(c.X.Clock.Wall(c.X.Clock.Now() + ms)) }
+	within := func(ms float64) { conn.SetDeadline(c.clock.Wall(c.clock.Now() + ms)) }
 	within(headWithin)
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, c.Address); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, address); err != nil {
 		return fmt.Errorf("ask: %w", err)
 	}
 	r := bufio.NewReaderSize(conn, maxLine)
@@ -110,7 +178,7 @@
 		within(quietWithin)
 		line, err := readLine(lines)
 		if text := strings.TrimSpace(string(line)); text != "" {
-			list, err := Parse(text, c.Log)
+			list, err := Parse(text, c.log)
 			if err != nil {
 				return err
 			}
@@ -119,7 +187,7 @@
 			if list.Full {
 				kind = decide.Whole
 			}
-			c.X.Members(kind, list.Entries)
+			c.tell(kind, list.Entries)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -69,7 +71,7 @@
 	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
 	c := NewClient(l.Addr().String(), x, zerolog.Nop())
 	version := int64(4)
-	if err := c.call(context.Background(), "/v1/endpoints?watch=1&after=4", &version); err != nil {
+	if err := c.call(context.Background(), l.Addr().String(), "/v1/endpoints?watch=1&after=4", &version); err != nil {
 		t.Fatal(err)
 	}
 	if got := <-asked; !strings.HasPrefix(got, "GET /v1/endpoints?watch=1&after=4 HTTP/1.1") {
@@ -80,6 +82,70 @@
 	}
 }
 
+// At another address discovery is asked at once, and for the whole list: it counts its versions anew, so what
+// changed "after" the old one's may leave out anything. The end of the old watch is no failure.
+func TestSetAddress(t *testing.T) {
+	asked := make(chan string, 8)
+	service := func(generation int) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r := bufio.NewReader(conn)
+				first, _ := r.ReadString('\n')
+				for line := first; strings.TrimSpace(line) != ""; line, _ = r.ReadString('\n') {
+				}
+				list := fmt.Sprintf("{\"generation\":%d,\"reset\":true,\"instances\":[]}\n", generation)
+				if strings.Contains(first, "watch") {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list)
+				} else {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+				}
+				asked <- strings.Fields(first)[1]
+			}
+		}()
+		return l.Addr().String()
+	}
+	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	c := NewClient(service(70), x, zerolog.Nop())
+	var failures atomic.Int32
+	c.tell = func(kind decide.ListKind, _ []memory.Listed) {
+		if kind == decide.Failed {
+			failures.Add(1)
+		}
+	}
+	go c.Run(t.Context(), 41)
+	c.Watch()
+	c.Watch() // one that waits while a watch is out is answered with it
+	want := func(path string) {
+		t.Helper()
+		if got := <-asked; got != path {
+			t.Errorf("asked for %q, want %q", got, path)
+		}
+	}
+	want("/v1/endpoints?watch=1&after=41")
+	c.SetAddress(service(7))
+	want("/v1/endpoints")
+	want("/v1/endpoints?watch=1&after=7")
+	c.SetAddress("127.0.0.1:1") // nobody is there: that is a failure, told once
+	for failures.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.SetAddress(service(8)) // and the list there is still unknown
+	want("/v1/endpoints")
+	want("/v1/endpoints?watch=1&after=8")
+	if n := failures.Load(); n != 1 {
+		t.Errorf("the module was told of %d failures", n)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(`{"generation":3,"reset":true,"instances":[` + ready + `]}`)
 	f.Add(`{"instances":[{}]}`)
--- a/internal/wire/xmpp/client.go
+++ b/internal/wire/xmpp/client.go
@@ -32,7 +32,7 @@
 type Front struct {
 	X     *memory.Exchange
 	Hosts map[string]Host
-	TLS   *tls.Config // nil only where the operator's file allows plaintext
+	TLS   atomic.Pointer[tls.Config] // for new connections; nil only where the operator's file allows plaintext
 	Log   zerolog.Logger
 	Room  int64 // how many client connections there may be
 	count atomic.Int64
@@ -78,7 +78,8 @@
 func (f *Front) header(e *link.End, st *stream) (*reader, Host, error) {
 	r := newReader(e.Conn)
 	host, err := f.start(st, r)
-	if err != nil || f.TLS == nil {
+	config := f.TLS.Load()
+	if err != nil || config == nil {
 		return r, host, err
 	}
 	st.write([]byte("<?xml version='1.0'?>" + startTag(st.to) +
@@ -91,7 +92,7 @@
 	if err := st.write([]byte("<proceed xmlns='" + tlsNS + "'/>")); err != nil {
 		return r, host, err
 	}
-	secure := tls.Server(e.Conn, f.TLS)
+	secure := tls.Server(e.Conn, config)
 	ctx, stop := context.WithTimeout(context.Background(), memory.Duration(headerWithin))
 	defer stop()
 	if err := secure.HandshakeContext(ctx); err != nil {
--- a/internal/wire/zookeeper/zookeeper.go
+++ b/internal/wire/zookeeper/zookeeper.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
+	"sync"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fastjson"
@@ -35,16 +37,31 @@
 // errExpired says that the service has forgotten the session, and with it every watch.
 var errExpired = errors.New("session expired")
 
-// Client follows one path. It implements memory.Discovery: the module says when to watch again after a
-// failure, with jitter.
-type Client struct {
+// Ensemble says which service is followed, and which of its paths.
+type Ensemble struct {
 	Addresses []string
 	Path      string
 	Session   float64 // wanted session time-out in milliseconds
-	X         *memory.Exchange
-	Log       zerolog.Logger
+}
+
+func (e Ensemble) same(o Ensemble) bool {
+	return slices.Equal(e.Addresses, o.Addresses) && e.Path == o.Path && e.Session == o.Session
+}
+
+// Client follows one path. It implements memory.Discovery: the module says when to watch again after a
+// failure, with jitter.
+type Client struct {
+	Ensemble
+	X   *memory.Exchange
+	Log zerolog.Logger
+
+	asks  chan struct{}
+	moved chan struct{} // holds one token while a new ensemble waits to be followed
+
+	mu     sync.Mutex
+	wanted Ensemble
+	hangUp context.CancelFunc // ends the connection that is open
 
-	asks    chan struct{}
 	id      int64 // of the session, 0 for none
 	secret  []byte
 	zxid    int64
@@ -53,10 +70,45 @@
 	granted float64
 }
 
-// NewClient returns a client of the service at the addresses.
-func NewClient(addresses []string, path string, session float64, x *memory.Exchange, log zerolog.Logger) *Client {
-	return &Client{Addresses: addresses, Path: strings.TrimRight(path, "/"), Session: session, X: x, Log: log,
-		asks: make(chan struct{}, 1), nodes: map[string]memory.Listed{}}
+// NewClient returns a client of a service.
+func NewClient(e Ensemble, x *memory.Exchange, log zerolog.Logger) *Client {
+	e.Path = strings.TrimRight(e.Path, "/")
+	return &Client{Ensemble: e, wanted: e, X: x, Log: log, asks: make(chan struct{}, 1), moved: make(chan struct{}, 1),
+		nodes: map[string]memory.Listed{}}
+}
+
+// Move follows another service, or another path, at once. The connection that is open is ended, and the
+// module does not hear of it: nothing has failed, and the servers known stay until the new list is there.
+func (c *Client) Move(e Ensemble) {
+	e.Path = strings.TrimRight(e.Path, "/")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e.same(c.wanted) {
+		return
+	}
+	c.wanted = e
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+	if c.hangUp != nil {
+		c.hangUp()
+	}
+}
+
+// begin takes up the wanted service. Another one knows nothing of the session that there was.
+func (c *Client) begin(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.moved:
+	default:
+	}
+	if !c.wanted.same(c.Ensemble) {
+		c.Ensemble, c.id, c.secret, c.zxid, c.next = c.wanted, 0, nil, 0, 0
+	}
+	ctx, c.hangUp = context.WithCancel(ctx)
+	return ctx
 }
 
 // Watch asks for the list and for changes from now on.
@@ -76,12 +128,21 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.moved:
 		case <-c.asks:
 		}
-		err := c.follow(ctx)
+		err := c.follow(c.begin(ctx))
+		c.hangUp()
 		if ctx.Err() != nil {
 			return
 		}
+		if len(c.moved) > 0 {
+			continue
+		}
+		select { // what was asked for meanwhile is answered by this end too
+		case <-c.asks:
+		default:
+		}
 		if errors.Is(err, errExpired) { // the next watch begins a new session and reads the whole list again
 			c.id, c.secret = 0, nil
 		}
@@ -179,6 +240,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
+	context.AfterFunc(ctx, func() { raw.Close() })
 	n := &conn{Conn: raw, r: bufio.NewReader(raw), clock: c.X.Clock, paths: map[int32]string{}, first: true}
 	secret := c.secret
 	if secret == nil {
@@ -213,7 +275,6 @@
 		return err
 	}
 	defer n.Close()
-	defer context.AfterFunc(ctx, func() { n.Close() })()
 	if n.list, err = n.ask(opGetChildren, c.Path, c.granted/3); err != nil {
 		return err
 	}
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -84,7 +84,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dialer{clock: memory.NewClock(), cfg: cfg, stop: stop}
 	d.x = memory.NewExchange(site, d.clock, d)
-	lister := zookeeper.NewClient(cfg.ZooKeeper, cfg.Path, cfg.SessionMs, d.x, log)
+	lister := zookeeper.NewClient(zookeeper.Ensemble{Addresses: cfg.ZooKeeper, Path: cfg.Path, Session: cfg.SessionMs}, d.x, log)
 	d.x.Members(decide.Cached, nil)
 	lister.Watch()
 	go lister.Run(ctx)
