Guard the client side with a gate: silent and bad clients leave the usual ones their part

Logs: 1848 of "accept4: too many open files" a relay, 532 of 532 descriptors. At fault (platform/client.go): connections without a request stood for 10 s, renewed by each PING, and counted as clients; crowded ones were kept as well; 96 descriptors were spare whatever the limit. Ruled out: CPU (0.04 s in the worst second) and memory (10 MB). Now all limits stand in wire/gate, for both fronts: 2 s to a request, an eighth of the descriptors where idle connections push one another out, requests counted with their server's end, small kernel buffers, log lines thinned. Also from reading: the id of another's open request fails (in the Exchange, and in its model), lines before the answer and overlong lines are refused, a wait is bounded by its class's, a flooding client is not read beyond 256 KiB and keeps its ERR, probe connections to replaced servers are closed, and a dial that fails for want of a descriptor is no longer taken for the server's failure. XMPP's queues are bounded in bytes.

--- a/cmd/capersail/main_test.go
+++ b/cmd/capersail/main_test.go
@@ -138,7 +138,7 @@
 	d.Set("s1", s.Address, "Terminating")
 	for i := 0; ; i++ { // the news takes its time; then nothing new goes there, and what is open stays
 		k := dial(t, address)
-		fmt.Fprint(k, open+"\r\n")
+		fmt.Fprintf(k, "OPEN d%d 7f3a c=map-stream,t=acme,d=2000\r\n", i)
 		if got, _ := k.in.ReadString('\n'); strings.HasPrefix(got, "BUSY") {
 			break
 		}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -16,13 +16,16 @@
 	"capersail/decide"
 	"capersail/internal/memory"
 	"capersail/internal/wire/discovery"
+	"capersail/internal/wire/gate"
 	"capersail/internal/wire/platform"
 )
 
 const (
-	// spareSockets are descriptors that serve no client: the runtime's, discovery's, a probe's for each server.
-	spareSockets = 96
-	moveOver     = 1500.0 // open connections are moved over this time, so that their clients do not return at once
+	ownSockets   = 16 // descriptors that serve no client: the runtime's, the log's, discovery's, two addresses of it
+	probeSockets = 16 // and those of connections kept for probes; a site with more servers dials for some probes
+	leastSockets = 64
+	anySockets   = 1 << 20 // where no limit is told
+	moveOver     = 1500.0  // open connections are moved over this time, so that their clients do not return at once
 	moveStep     = 50.0
 	graceAfter   = 300.0 // after the longest deadline; SIGKILL comes 700 ms after it at the earliest
 	leastLeave   = 700.0 // new connections go on coming for up to 400 ms after SIGTERM
@@ -160,13 +163,21 @@
 	}
 }
 
+// room is how many descriptors clients, and their connections to servers, may have.
+func room(sockets int) int {
+	if sockets == 0 {
+		return anySockets
+	}
+	return max(sockets, leastSockets) - ownSockets - probeSockets
+}
+
 // startPlatform starts the platform's front.
 func startPlatform(ctx context.Context, from Sources, c *Config, log zerolog.Logger) (*relay, error) {
 	// The simulator's note of slow messages has no line on the sockets: under a load of 1.3 the clients' own
 	// lines still come back within 0.3 ms. The module is to know that a reading is all it will get.
 	c.Site.Settings.TellsDelay = false
 	clock := memory.NewClock()
-	servers := &platform.Servers{Clock: clock, ConnectTimeout: memory.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey}
+	servers := &platform.Servers{Clock: clock, ConnectTimeout: memory.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey, Keep: probeSockets}
 	x := memory.NewExchange(c.Site, clock, servers)
 	x.Members(decide.Cached, c.Known.Entries)
 	lister := discovery.NewClient(c.Discovery, x, log)
@@ -174,11 +185,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	room := int64(1 << 20)
-	if c.Sockets > 0 {
-		room = int64(max(c.Sockets-spareSockets, 2) / 2)
-	}
-	front := &platform.Front{X: x, Site: c.Site, Log: log, Room: room}
+	door := gate.New(clock, room(c.Sockets), log)
+	front := &platform.Front{X: x, Site: c.Site, Gate: door}
 	go lister.Run(ctx, c.Known.Version)
 	go memory.NewCore(x, c.Seed, lister, log).Run(ctx)
 	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(c.Site)}
@@ -189,6 +197,7 @@
 		}
 		lister.SetAddress(n.Discovery)
 		limit(n)
+		door.SetRoom(room(n.Sockets))
 		log.Info().Str("discovery", n.Discovery).Int("memory_mb", n.MemoryMB).Int("sockets", n.Sockets).
 			Bool("needs_restart", n.Name != c.Name || n.Listen != c.Listen || n.settings != c.settings).Msg("reloaded")
 		return nil
--- a/internal/lifecycle/xmpp.go
+++ b/internal/lifecycle/xmpp.go
@@ -13,6 +13,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/wire/gate"
 	"capersail/internal/wire/xmpp"
 	"capersail/internal/wire/zookeeper"
 )
@@ -90,8 +91,8 @@
 		bad = "silent_ms: from 100 to 7000"
 	case !(o.ConnectMs > 0):
 		bad = "connect_ms: more than 0"
-	case o.Sockets < 2*spareSockets:
-		bad = fmt.Sprintf("sockets: %d at least", 2*spareSockets)
+	case o.Sockets < leastSockets:
+		bad = fmt.Sprintf("sockets: %d at least", leastSockets)
 	}
 	if bad != "" {
 		return nil, fmt.Errorf("%s: %s", path, bad)
@@ -177,7 +178,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	front := &xmpp.Front{X: x, Hosts: hosts, Log: log, Room: int64(o.Sockets-spareSockets) / 2}
+	door := gate.New(clock, room(o.Sockets), log)
+	front := &xmpp.Front{X: x, Hosts: hosts, Gate: door}
 	front.TLS.Store(secure)
 	go lister.Run(ctx)
 	go memory.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
@@ -193,6 +195,7 @@
 		}
 		lister.Move(n.ensemble())
 		front.TLS.Store(secure)
+		door.SetRoom(room(n.Sockets))
 		log.Info().Strs("zookeeper", n.ZooKeeper.Servers).Bool("needs_restart", n.fixed() != o.fixed()).Msg("reloaded XMPP")
 		return nil
 	}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -47,6 +47,7 @@
 
 // Ask is what a client wants, in the module's numbers.
 type Ask struct {
+	Name     string // by which servers know the request, "" if they do not
 	Class    decide.Class
 	Tenant   decide.Tenant
 	Key      uint64
@@ -98,6 +99,7 @@
 	site    *Site
 	roster  roster
 	calls   map[decide.RequestID]*Call
+	names   map[string]*Call // the calls that have names
 	lastID  decide.RequestID
 	inbox   []decide.Event
 	ready   chan struct{} // holds one token while the inbox has something
@@ -114,6 +116,7 @@
 	client   Client
 	state    State
 	settled  chan struct{} // closed once the call is up or ended
+	finished chan struct{} // closed once both sides are done with it
 	answer   Answer
 	deadline float64
 	resumed  bool // it was open at its server before this relay started
@@ -132,7 +135,7 @@
 
 // NewExchange returns an Exchange without calls.
 func NewExchange(site *Site, clock *Clock, servers Servers) *Exchange {
-	return &Exchange{Clock: clock, site: site, servers: servers, calls: map[decide.RequestID]*Call{},
+	return &Exchange{Clock: clock, site: site, servers: servers, calls: map[decide.RequestID]*Call{}, names: map[string]*Call{},
 		roster: roster{site: site, clock: clock, byID: map[string]*Server{}}, ready: make(chan struct{}, 1)}
 }
 
@@ -160,11 +163,16 @@
 // listed finds the server of an attempt as the newest list has it. The roster never drops one.
 func (a *Attempt) listed() *Server { return a.Server.now }
 
-// Open takes on a request. A relay that is leaving refuses it at once.
+// Open takes on a request. A relay that is leaving refuses it at once, and one with the name of a request
+// that stands fails: to its server it would be a second attempt at that.
 func (x *Exchange) Open(a Ask, client Client) *Call {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.enter(a, client)
+	if c.double() {
+		c.end(Answer{Kind: Failed})
+		return c
+	}
 	if x.leaving {
 		c.end(Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64()})
 		return c
@@ -180,7 +188,7 @@
 	defer x.mu.Unlock()
 	c := x.enter(a, client)
 	c.resumed = true
-	if s := x.roster.byID[server]; s == nil || x.leaving {
+	if s := x.roster.byID[server]; s == nil || x.leaving || c.double() {
 		c.end(Answer{Kind: Failed})
 	} else {
 		c.try(s, 0)
@@ -190,11 +198,18 @@
 
 func (x *Exchange) enter(a Ask, client Client) *Call {
 	x.lastID++
-	c := &Call{Ask: a, ID: x.lastID, x: x, client: client, settled: make(chan struct{}), deadline: x.Clock.Now() + a.Left}
+	c := &Call{Ask: a, ID: x.lastID, x: x, client: client, settled: make(chan struct{}),
+		finished: make(chan struct{}), deadline: x.Clock.Now() + a.Left}
 	x.calls[c.ID] = c
+	if a.Name != "" && x.names[a.Name] == nil {
+		x.names[a.Name] = c
+	}
 	return c
 }
 
+// double tells whether another call has the name.
+func (c *Call) double() bool { return c.Name != "" && c.x.names[c.Name] != c }
+
 func (c *Call) request() decide.Request {
 	return decide.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Left: Duration(c.Left), Hint: c.Hint,
 		Group: c.Group, Returned: c.Returned}
@@ -233,8 +248,12 @@
 
 // drop forgets a call that is over on both sides.
 func (c *Call) drop() {
-	if c.state == Ended && !c.out {
+	if c.state == Ended && !c.out && c.x.calls[c.ID] == c {
 		delete(c.x.calls, c.ID)
+		if !c.double() {
+			delete(c.x.names, c.Name)
+		}
+		close(c.finished)
 	}
 }
 
@@ -306,6 +325,31 @@
 // Settled is closed once the call is up or ended.
 func (c *Call) Settled() <-chan struct{} { return c.settled }
 
+// Finished is closed once neither side has anything to do with the call any more.
+func (c *Call) Finished() <-chan struct{} { return c.finished }
+
+// Spoil fails a call whose client has broken the protocol while it waited for its answer. It is false, and
+// nothing has happened, if the call has its answer or is up.
+func (c *Call) Spoil() bool {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state != Held && c.state != Trying {
+		return false
+	}
+	if !c.resumed {
+		c.x.post(decide.Gone{ID: c.ID})
+	}
+	c.end(Answer{Kind: Failed})
+	return true
+}
+
+// Dismiss sends a client away whose call is up.
+func (c *Call) Dismiss() {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	c.move()
+}
+
 // State is where the call stands, with the final answer if it ended without coming up.
 func (c *Call) State() (State, Answer) {
 	c.x.mu.Lock()
--- a/internal/memory/exchange_test.go
+++ b/internal/memory/exchange_test.go
@@ -41,8 +41,12 @@
 	deadline float64
 	until    float64
 	outcomes int
+	name     string
 }
 
+// over tells whether neither side has anything to do with the request any more.
+func (m *model) over() bool { return m.state == Ended && !m.out }
+
 // FuzzExchange plays random steps to a few requests and checks every one against the model: one final
 // answer, never two attempts out, nothing written to a server that drains, one outcome for each attempt.
 func FuzzExchange(f *testing.F) {
@@ -51,6 +55,8 @@
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 6, 0, 0, 5, 0, 0, 8, 0, 1, 8, 0, 0})                   // client leaves mid-set-up
 	f.Add([]byte{0, 1, 1, 1, 1, 0, 2, 1, 0, 3, 1, 0, 5, 1, 3, 1, 1, 1, 8, 1, 1})          // unsafe and lost: no second send
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 11, 0, 0, 3, 0, 0, 5, 0, 0, 10, 0, 9, 12, 0, 0, 13, 0, 0, 0, 2, 0})
+	f.Add([]byte{0, 0, 1, 1, 0, 0, 0, 1, 1, 14, 0, 0, 0, 2, 1, 5, 0, 0, 0, 3, 1}) // a name that stands, is spoilt, is free
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 14, 0, 0, 15, 0, 0, 5, 0, 0})
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		clock, wire := NewSetClock(), &side{}
 		site := &Site{Settings: decide.Settings{MaxAttempts: 3, Classes: []decide.ClassInfo{{}, {Effect: decide.Unsafe}}}}
@@ -63,7 +69,7 @@
 		calls := map[int]*model{}
 		leaving := false
 		for ; len(steps) >= 3; steps = steps[3:] {
-			op, who, arg := steps[0]%14, int(steps[1]%4), int(steps[2])
+			op, who, arg := steps[0]%16, int(steps[1]%4), int(steps[2])
 			m, now := calls[who], clock.Now()
 			if m == nil && op != 0 && op != 9 && op != 10 && op != 13 {
 				continue
@@ -72,9 +78,15 @@
 			switch op {
 			case 0:
 				if m == nil {
-					m = &model{client: &side{}, deadline: now + 1000}
-					m.call = x.Open(Ask{Class: decide.Class(who % 2), Left: 1000}, m.client)
-					if calls[who] = m; leaving {
+					m = &model{client: &side{}, deadline: now + 1000, name: []string{"", "a", "b"}[arg%3]}
+					double := false
+					for _, o := range calls {
+						double = double || m.name != "" && o.name == m.name && !o.over()
+					}
+					m.call = x.Open(Ask{Name: m.name, Class: decide.Class(who % 2), Left: 1000}, m.client)
+					if calls[who] = m; double {
+						m.state, m.answer, m.name = Ended, Failed, ""
+					} else if leaving {
 						m.state, m.answer = Ended, Refused
 					}
 				}
@@ -153,6 +165,17 @@
 			case 13:
 				x.Drain()
 				leaving = true
+			case 14:
+				want := m.state == Held || m.state == Trying
+				if got := m.call.Spoil(); got != want {
+					t.Fatalf("spoil in %+v: %v", m, got)
+				}
+				if want {
+					m.state, m.answer = Ended, Failed
+				}
+			case 15:
+				m.call.Dismiss()
+				m.moving = m.moving || m.state == Up
 			}
 			outcomes := map[decide.RequestID]int{}
 			for _, ev := range x.inbox {
@@ -174,7 +197,7 @@
 				if outcomes[m.call.ID] > m.outcomes {
 					t.Fatalf("request %d: %d outcomes told of %d", who, outcomes[m.call.ID], m.outcomes)
 				}
-				if _, kept := x.calls[m.call.ID]; kept == (m.state == Ended && !m.out) {
+				if _, kept := x.calls[m.call.ID]; kept == m.over() || isClosed(m.call.Finished()) != m.over() {
 					t.Fatalf("request %d in %v is kept: %v", who, m.state, kept)
 				}
 			}
--- /dev/null
+++ b/internal/wire/gate/gate_test.go
@@ -0,0 +1,118 @@
+package gate
+
+import (
+	"net"
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"capersail/internal/memory"
+)
+
+// visitor is what a pass is meant to be.
+type visitor struct {
+	pass   *Pass
+	conn   *conn
+	client bool // its descriptor is held
+	asked  bool // and may not be taken away
+	server bool
+}
+
+type conn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *conn) Close() error { c.closed = true; return nil }
+
+// FuzzGate plays random steps to the passes of a small gate and checks its counts against a model: what is held
+// stays within the room, the oldest idle connection makes way, and a request's never does.
+func FuzzGate(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 1, 0, 1, 1, 0, 0, 2, 0, 3, 0, 4, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 9, 1, 10, 4, 9, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const room = 12
+		g := New(memory.NewSetClock(), room, zerolog.Nop())
+		var all []*visitor
+		var idle []*visitor
+		held, placed := 0, 0
+		out := func(v *visitor) { idle = slices.DeleteFunc(idle, func(o *visitor) bool { return o == v }) }
+		free := func(v *visitor) {
+			if v.asked {
+				v.asked = false
+				placed--
+			}
+			if v.client {
+				v.client = false
+				held--
+				out(v)
+			}
+		}
+		for ; len(steps) >= 2; steps = steps[2:] {
+			if steps[0]%5 == 0 {
+				if held >= room && len(idle) > 0 {
+					free(idle[0])
+				}
+				c := &conn{}
+				v := &visitor{pass: g.enter(c), conn: c, client: true}
+				all, idle = append(all, v), append(idle, v)
+				held++
+			} else if len(all) > 0 {
+				v := all[int(steps[1])%len(all)]
+				switch steps[0] % 5 {
+				case 1:
+					if v.asked || v.server { // a connection asks once
+						continue
+					}
+					want := v.client && placed+2 <= room-leastSpare
+					if got := v.pass.Ask(); got != want {
+						t.Fatalf("ask: %v with %d placed of %+v", got, placed, v)
+					}
+					if want {
+						v.asked, v.server = true, true
+						held, placed = held+1, placed+2
+						out(v)
+						if held > room {
+							free(idle[0])
+						}
+					}
+				case 2:
+					v.pass.Ending()
+					if v.asked {
+						v.asked = false
+						placed--
+						idle = append(idle, v)
+					}
+				case 3:
+					v.pass.Ending()
+					if v.asked {
+						v.asked = false
+						placed--
+						idle = append(idle, v)
+					}
+					v.pass.Closed()
+					free(v)
+				case 4:
+					v.pass.leave()
+					free(v)
+					if v.server {
+						v.server = false
+						held, placed = held-1, placed-1
+					}
+				}
+			}
+			if g.held != held || g.placed != placed || g.idle.Len() != len(idle) {
+				t.Fatalf("held %d, placed %d, idle %d; want %d, %d, %d", g.held, g.placed, g.idle.Len(), held, placed, len(idle))
+			}
+			if held > room+1 {
+				t.Fatalf("%d held of %d", held, room)
+			}
+			for i, v := range all {
+				if v.client != v.pass.client || v.asked && v.conn.closed {
+					t.Fatalf("visitor %d: %+v, closed %v", i, v, v.conn.closed)
+				}
+			}
+		}
+	})
+}
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -9,8 +9,10 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"capersail/decide"
 	"capersail/internal/memory"
 )
 
@@ -18,8 +20,12 @@
 const WriteWithin = 1000.0
 
 // lingerFor is how long a connection that was ended cleanly waits for the other end. Closing one with
-// unread bytes makes the kernel send a reset, which can overtake and destroy the last line written.
-const lingerFor = 500.0
+// unread bytes makes the kernel send a reset, which can overtake and destroy the last line written. Beyond
+// lingerBytes nothing more is read: to throw away what a client sends at full speed costs processor time.
+const (
+	lingerFor   = 500.0
+	lingerBytes = 256 << 10
+)
 
 // End is one connection's end of a call, for the other side's goroutine and the core loop. A sticky wake
 // makes a pending read return at once; a write never waits longer than WriteWithin.
@@ -114,13 +120,37 @@
 	}
 }
 
-// Drain throws away what still comes, until the peer's end or the bounded wait, then closes for good.
+// Drain throws away what still comes, until the peer's end or the bounded wait, then closes for good. A peer
+// that goes on sending is left to its full buffers until then, so that it can read the last line first.
 func (e *End) Drain() {
+	began := e.Clock.Now()
 	e.Close(memory.Clean)
-	io.Copy(io.Discard, io.LimitReader(e.Conn, 1<<20))
+	if n, err := io.Copy(io.Discard, io.LimitReader(e.Conn, lingerBytes)); n == lingerBytes && err == nil {
+		<-e.Clock.After(began + lingerFor - e.Clock.Now())
+	}
 	e.Conn.Close()
 }
 
+// Undialled is the outcome of an attempt whose dial failed. One that failed for want of something of our
+// own, such as descriptors, says nothing of the server: taken for its failure it would leave a sound one out.
+func Undialled(err error) decide.Status {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, errno) {
+			return decide.Moot
+		}
+	}
+	return decide.ConnectFailed
+}
+
+// Unprobed is the same for a probe, which tells a silent server from a dead one.
+func Unprobed(err error) decide.Status {
+	var slow net.Error
+	if errors.As(err, &slow) && slow.Timeout() {
+		return decide.TimedOut
+	}
+	return Undialled(err)
+}
+
 // Ending tells a clean end from a break.
 func Ending(err error) memory.Ending {
 	if errors.Is(err, io.EOF) {
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -5,84 +5,86 @@
 	"fmt"
 	"math"
 	"net"
-	"sync/atomic"
-	"time"
-
-	"github.com/rs/zerolog"
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
 )
 
-// firstLineWithin bounds how long a connection may stay without a first line, and holds a descriptor.
-const firstLineWithin = 10_000.0
+// maxPings is how many pings a connection may begin with. Each costs an answer.
+const maxPings = 16
 
-// Front is the client side: it accepts connections and speaks with each in a goroutine of its own.
+// Front is the client side: it speaks with each client in a goroutine of its own.
 type Front struct {
 	X    *memory.Exchange
 	Site *memory.Site
-	Log  zerolog.Logger
-	// Room is how many client connections there may be; each may need a second one to its server.
-	Room  int64
-	count atomic.Int64
+	Gate *gate.Gate
 }
 
-// Serve accepts until the listener is closed. An accept that fails for want of a descriptor is tried again.
-func (f *Front) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			f.Log.Warn().Err(err).Msg("accept failed")
-			time.Sleep(memory.Duration(5))
-			continue
-		}
-		go f.serve(conn, f.count.Add(1) > f.Room)
+// Serve accepts until the listener is closed.
+func (f *Front) Serve(l net.Listener) error { return f.Gate.Serve(l, f.serve) }
+
+// serve speaks with one client until its connection is closed, and that to its server too.
+func (f *Front) serve(p *gate.Pass) {
+	e := &link.End{Conn: p.Conn, Clock: f.X.Clock}
+	in := newLines(p.Conn)
+	e.Until(p.Until)
+	call := f.first(p, e, in)
+	if call != nil {
+		f.follow(call, e, in)
+	}
+	p.Ending()
+	e.Drain()
+	p.Closed()
+	if call != nil {
+		<-call.Finished()
 	}
 }
 
-// serve speaks with one client until its connection is closed.
-func (f *Front) serve(conn net.Conn, crowded bool) {
-	defer f.count.Add(-1)
-	e := &link.End{Conn: conn, Clock: f.X.Clock}
-	defer e.Drain()
-	in := newLines(conn)
-	e.Until(f.X.Clock.Now() + firstLineWithin)
-	for {
+// first takes a connection up to its request. Nil means that it has its answer, or that none is due: it said
+// nothing in time, or had to make room for others.
+func (f *Front) first(p *gate.Pass, e *link.End, in *lines) *memory.Call {
+	for range maxPings {
 		line, err := in.next()
 		if err != nil && !errors.Is(err, errTooLong) {
-			return
+			return nil
 		}
 		if first, _ := word(line); err == nil && first == "PING" {
 			if e.Pass([]byte("PONG\r\n")) != nil {
-				return
+				return nil
 			}
-			e.Until(f.X.Clock.Now() + firstLineWithin)
 			continue
 		}
-		if crowded { // the bound on descriptors: better a no at once than an accept that fails
-			e.Pass([]byte("BUSY 500\r\n"))
-			return
-		}
 		ask, at, err := f.ask(line, err)
+		if err == nil && in.r.Buffered() > 0 {
+			err = errUnasked
+		}
 		if err != nil {
-			f.Log.Warn().Err(err).Bytes("line", line[:min(len(line), 200)]).Msg("bad first line; failed")
-			e.Pass([]byte("ERR bad request\r\n"))
-			return
+			f.refuse(e, line, err)
+			return nil
+		}
+		if !p.Ask() { // the bound on descriptors: better a no at once than an accept that fails
+			e.Pass([]byte("BUSY 500\r\n"))
+			return nil
 		}
 		e.Until(0)
-		var call *memory.Call
 		if at != "" {
-			call = f.X.Resume(ask, at, e)
-		} else {
-			call = f.X.Open(ask, e)
+			return f.X.Resume(ask, at, e)
 		}
-		f.follow(call, e, in)
-		return
+		return f.X.Open(ask, e)
 	}
+	return nil
+}
+
+// errUnasked: a client waits for the answer to its first line. What comes before that is nobody's to read,
+// and passed on it would be another request's line to the server.
+var errUnasked = errors.New("lines before the answer")
+
+// refuse answers what cannot be read.
+func (f *Front) refuse(e *link.End, line []byte, err error) {
+	f.Gate.Log.Warn().Err(err).Bytes("line", line[:min(len(line), 80)]).Msg("bad client; failed")
+	e.Pass([]byte("ERR bad request\r\n"))
 }
 
 // ask puts a first line into the module's numbers.
@@ -102,7 +104,11 @@
 	if !ok {
 		tenant = decide.NoTenant
 	}
-	return memory.Ask{Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: o.left,
+	left := o.left
+	if longest := memory.Millis(f.Site.Settings.Classes[class].Deadline); longest > 0 && o.at == "" {
+		left = min(left, longest) // no client of the class waits for longer, whatever it says
+	}
+	return memory.Ask{Name: o.id, Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: left,
 		Returned: o.returned, Payload: o}, o.at, nil
 }
 
@@ -111,30 +117,34 @@
 func (f *Front) follow(call *memory.Call, e *link.End, in *lines) {
 	for {
 		line, err := in.next()
-		if len(line) > 0 {
-			<-call.Settled() // a client that does not wait for UP has its lines kept in its own socket
+		switch {
+		case len(line) > 0 && call.Spoil():
+			f.refuse(e, line, errUnasked)
+			return
+		case errors.Is(err, errTooLong): // no part of it goes on, and the server is no worse for its client
+			f.Gate.Log.Warn().Err(err).Msg("bad client; moved")
+			call.Dismiss()
+			<-call.Finished()
+			return
+		case len(line) > 0:
 			remote := call.Remote()
 			if remote == nil {
 				f.answer(call, e)
 				return
 			}
 			call.Asked()
-			if remote.Pass(line) != nil {
-				continue // the server side meets the same break and ends both
-			}
-			continue
-		}
-		if link.TimedOut(err) {
+			remote.Pass(line) // if that fails, the server side meets the same break and ends both
+		case link.TimedOut(err):
 			e.Rest()
 			if state, _ := call.State(); state == memory.Ended || e.Over() { // answered, or ended by its server
 				f.answer(call, e)
 				return
 			}
 			e.Until(0)
-			continue
+		default:
+			call.Leave(link.Ending(err))
+			return
 		}
-		call.Leave(link.Ending(err))
-		return
 	}
 }
 
--- a/internal/wire/platform/line.go
+++ b/internal/wire/platform/line.go
@@ -79,6 +79,7 @@
 
 // opening is a client's first line, taken apart. Its text goes on to the server unchanged but for d.
 type opening struct {
+	id            string
 	before, after string // the line around the figure of d
 	class, tenant string
 	key, group    uint64
@@ -100,7 +101,7 @@
 			return nil, fmt.Errorf("control character")
 		}
 	}
-	o := &opening{key: number(parts[2])}
+	o := &opening{id: parts[1], key: number(parts[2])}
 	at := len(text) - len(parts[3])
 	for _, field := range strings.Split(parts[3], ",") {
 		name, value, ok := strings.Cut(field, "=")
@@ -115,7 +116,8 @@
 			o.tenant = value
 		case "d":
 			o.before, o.after = text[:at+2], text[at+len(field):]
-			if o.left, err = strconv.ParseFloat(value, 64); err != nil || !(o.left > 0 && o.left < 1e9) {
+			if o.left, err = strconv.ParseFloat(value, 64); err != nil || strings.Trim(value, "0123456789.") != "" ||
+				!(o.left > 0 && o.left < 1e9) {
 				return nil, fmt.Errorf("d=%q is not a time to wait", value)
 			}
 		case "g":
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -15,6 +15,7 @@
 	"capersail/decide"
 	"capersail/internal/memory"
 	"capersail/internal/standin"
+	"capersail/internal/wire/gate"
 )
 
 func TestOpening(t *testing.T) {
@@ -109,7 +110,7 @@
 	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
 		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(900), Tick: memory.Duration(5),
 		ConnectTimeout: memory.Duration(1000), Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(600)}}}}
-	x = memory.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, LoadKey: "x0"})
+	x = memory.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, LoadKey: "x0", Keep: 4})
 	var list []memory.Listed
 	for i, answer := range answers {
 		s, err := standin.NewTileServer("127.0.0.1:0", answer)
@@ -126,7 +127,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go (&Front{X: x, Site: site, Log: zerolog.Nop(), Room: 8}).Serve(l)
+	go (&Front{X: x, Site: site, Gate: gate.New(clock, 24, zerolog.Nop())}).Serve(l)
 	go memory.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
 	return l.Addr().String(), x, servers
 }
@@ -137,6 +138,13 @@
 }
 
 func dial(t *testing.T, address, line string) *client {
+	t.Helper()
+	c := connect(t, address)
+	fmt.Fprint(c, line+"\r\n")
+	return c
+}
+
+func connect(t *testing.T, address string) *client {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -144,7 +152,6 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(30 * time.Second))
-	fmt.Fprint(conn, line+"\r\n")
 	return &client{conn, bufio.NewReader(conn)}
 }
 
@@ -246,16 +253,120 @@
 	}
 }
 
-// Beyond the bound on descriptors a client is told so at once.
+// named is a first line with an id of its own.
+func named(id string) string { return strings.Replace(open, "a1", id, 1) }
+
+// Beyond the bound on descriptors a client is told so at once. Those that say nothing take no part of it:
+// they make room for whoever comes, and the connections that have asked stay.
 func TestCrowded(t *testing.T) {
 	address, _, _ := serve(t, "UP")
+	var kept []*client
 	for i := range 9 {
-		want := "UP a1"
+		for range 30 {
+			connect(t, address)
+		}
+		want := "UP"
 		if i == 8 {
-			want = "BUSY 500"
+			want = "BUSY"
 		}
-		if got := dial(t, address, open).next(); got != want {
+		c := dial(t, address, named(fmt.Sprint("c", i)))
+		if got, _, _ := strings.Cut(c.next(), " "); got != want {
 			t.Errorf("client %d: %q", i, got)
 		}
+		kept = append(kept, c)
+	}
+	for i, c := range kept[:8] {
+		fmt.Fprint(c, "M\r\n")
+		if got := c.next(); got != "M" {
+			t.Errorf("client %d was pushed out: %q", i, got)
+		}
+	}
+}
+
+// A connection that brings no request is closed well within the 3 s it is owed that; pings do not renew it.
+func TestSilentClients(t *testing.T) {
+	address, _, _ := serve(t, "UP")
+	var all []*client
+	for _, say := range []string{"", "PING\r\n", "half a li"} {
+		c := connect(t, address)
+		c.SetDeadline(time.Now().Add(4 * gate.RequestWithin * time.Millisecond))
+		fmt.Fprint(c, say)
+		all = append(all, c)
+	}
+	for _, c := range all {
+		got := c.next()
+		for got == "PONG" {
+			got = c.next()
+		}
+		if got != "end" {
+			t.Errorf("%q", got)
+		}
+	}
+}
+
+// What a client may not do is answered ERR, whatever else waits on the connection, and never reaches a server.
+func TestBadClients(t *testing.T) {
+	for name, lines := range map[string]string{
+		"a good line behind what cannot be read": "frob\r\n" + open,
+		"hundreds at once":                       strings.Repeat(open+"\r\n", 300),
+		"a line before the answer":               open + "\r\nM 1",
+		"a line without end":                     strings.Repeat("k", 8<<20),
+		"a wait that is no number":               "OPEN a1 0f c=m,d=0x10",
+		"pings, then garbage":                    "PING\r\nfrob",
+	} {
+		address, _, servers := serve(t, "UP")
+		c := dial(t, address, "PING")
+		c.next()
+		go fmt.Fprint(c, lines+"\r\n")
+		got := c.next()
+		for got == "PONG" {
+			got = c.next()
+		}
+		if got != "ERR bad request" || len(servers[0].Firsts) > 0 {
+			t.Errorf("%s: %.40q, %d first lines sent on", name, got, len(servers[0].Firsts))
+		}
+	}
+	address, _, servers := serve(t, "")
+	c := dial(t, address, open)
+	<-servers[0].Firsts
+	fmt.Fprint(c, "M 1 while its attempt is out\r\n")
+	if got := c.next(); got != "ERR bad request" {
+		t.Errorf("a line while the attempt is out: %q", got)
+	}
+}
+
+// An id is one client's while its request stands: to the server another would be a second attempt at it.
+func TestIDOfAnother(t *testing.T) {
+	address, x, servers := serve(t, "UP")
+	c := dial(t, address, open)
+	if got := c.next(); got != "UP a1" {
+		t.Fatal(got)
+	}
+	for _, line := range []string{open, "OPEN a1 0f c=m,at=s0"} {
+		if got := dial(t, address, line).next(); got != "ERR" {
+			t.Errorf("%s: %q", line, got)
+		}
+	}
+	fmt.Fprint(c, "M 1\r\n")
+	if got := c.next(); got != "M 1" || len(servers[0].Firsts) != 1 {
+		t.Errorf("the first client got %q; %d first lines", got, len(servers[0].Firsts))
+	}
+	c.Close()
+	for x.MoveSome(0) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := dial(t, address, open).next(); got != "UP a1" {
+		t.Errorf("once it is free: %q", got)
+	}
+}
+
+// No part of an overlong line goes on to the server of a connection that is up; its client is sent away.
+func TestOverlongLineWhenUp(t *testing.T) {
+	address, _, _ := serve(t, "UP")
+	c := dial(t, address, open)
+	c.next()
+	go fmt.Fprint(c, strings.Repeat("k", 4<<20))
+	if got := c.next(); got != "MOVE" {
+		t.Errorf("%.40q", got)
 	}
 }
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -2,27 +2,35 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"capersail/decide"
 	"capersail/internal/memory"
 	"capersail/internal/wire/link"
 )
 
-// probeWithin is how long a probe's answer is waited for. It tells a silent machine from a slow one.
-const probeWithin = 200.0
+const (
+	// probeWithin is how long a probe's answer is waited for. It tells a silent machine from a slow one.
+	probeWithin = 200.0
+	// keptFor is how long a connection for probes is kept unused. Servers that a deploy has replaced are probed
+	// no more, and each would hold a descriptor for good.
+	keptFor = 10_000.0
+)
 
 // Servers is the server side: it dials, passes lines back, classifies how attempts end, and probes.
 type Servers struct {
 	Clock          *memory.Clock
 	ConnectTimeout float64
 	LoadKey        string
+	Keep           int64 // how many connections may be kept for probes
 
 	mu      sync.Mutex
 	probers map[decide.Backend]chan probe
+	kept    atomic.Int64 // connections kept for probes
 }
 
 // Try makes one attempt in a goroutine of its own.
@@ -42,7 +50,7 @@
 	}
 	conn, err := link.Dial(ctx, a.Server.Address, within)
 	if err != nil {
-		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
+		c.Over(a.No, link.Undialled(err), decide.NoReport)
 		return
 	}
 	defer conn.Close()
@@ -190,9 +198,17 @@
 // prober owns the kept connection to one server.
 func (s *Servers) prober(asks <-chan probe) {
 	var k kept
-	for p := range asks {
-		if k.conn != nil && k.address != p.address {
-			k.drop()
+	var idle <-chan time.Time
+	for {
+		var p probe
+		select {
+		case p = <-asks:
+		case <-idle:
+			s.drop(&k)
+			continue
+		}
+		if k.address != p.address {
+			s.drop(&k)
 		}
 		until := s.Clock.Now() + probeWithin
 		old := k.conn != nil
@@ -200,6 +216,10 @@
 		if err != nil && old && !link.TimedOut(err) { // it was closed while idle: that says nothing of the server
 			status, load, _ = s.ask(&k, p.address, until)
 		}
+		if s.kept.Load() > s.Keep {
+			s.drop(&k)
+		}
+		idle = s.Clock.After(keptFor)
 		p.done(status, load)
 	}
 }
@@ -211,9 +231,10 @@
 	address string
 }
 
-func (k *kept) drop() {
+func (s *Servers) drop(k *kept) {
 	if k.conn != nil {
 		k.conn.Close()
+		s.kept.Add(-1)
 	}
 	k.conn = nil
 }
@@ -223,13 +244,10 @@
 	if k.conn == nil {
 		conn, err := link.Dial(context.Background(), address, until-s.Clock.Now())
 		if err != nil {
-			var slow net.Error
-			if errors.As(err, &slow) && slow.Timeout() {
-				return decide.TimedOut, decide.NoReport, err
-			}
-			return decide.ConnectFailed, decide.NoReport, err
+			return link.Unprobed(err), decide.NoReport, err
 		}
 		*k = kept{conn, newLines(conn), address}
+		s.kept.Add(1)
 	}
 	k.conn.SetDeadline(s.Clock.Wall(until))
 	_, err := k.conn.Write([]byte("STATS\r\n"))
@@ -238,7 +256,7 @@
 		line, err = k.in.next()
 	}
 	if err != nil {
-		k.drop()
+		s.drop(k)
 		if link.TimedOut(err) {
 			return decide.TimedOut, decide.NoReport, err
 		}
--- a/internal/wire/xmpp/client.go
+++ b/internal/wire/xmpp/client.go
@@ -8,18 +8,13 @@
 	"math"
 	"net"
 	"sync/atomic"
-	"time"
-
-	"github.com/rs/zerolog"
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
 )
 
-// headerWithin bounds how long a connection may take to its stream's start tag, TLS included.
-const headerWithin = 10_000.0
-
 // Host is what the operator's file says of one `to`.
 type Host struct {
 	Class  decide.Class
@@ -33,49 +28,40 @@
 	X     *memory.Exchange
 	Hosts map[string]Host
 	TLS   atomic.Pointer[tls.Config] // for new connections; nil only where the operator's file allows plaintext
-	Log   zerolog.Logger
-	Room  int64 // how many client connections there may be
-	count atomic.Int64
+	Gate  *gate.Gate
 }
 
 // Serve accepts until the listener is closed.
-func (f *Front) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			f.Log.Warn().Err(err).Msg("accept failed")
-			time.Sleep(memory.Duration(5))
-			continue
-		}
-		go f.serve(conn, f.count.Add(1) > f.Room)
-	}
-}
+func (f *Front) Serve(l net.Listener) error { return f.Gate.Serve(l, f.serve) }
 
-func (f *Front) serve(conn net.Conn, crowded bool) {
-	defer f.count.Add(-1)
-	e := &link.End{Conn: conn, Clock: f.X.Clock}
-	defer e.Drain()
-	e.Until(f.X.Clock.Now() + headerWithin)
+// serve speaks with one client until its connection is closed, and that to its server too.
+func (f *Front) serve(p *gate.Pass) {
+	e := &link.End{Conn: p.Conn, Clock: f.X.Clock}
 	st := newStream(e)
-	r, host, err := f.header(e, st)
-	if err != nil {
-		f.Log.Warn().Err(err).Str("to", st.to).Msg("stream refused before it was placed")
-		return
-	}
-	if crowded {
+	e.Until(p.Until)
+	r, host, err := f.header(e, st, p.Until)
+	var call *memory.Call
+	switch {
+	case err != nil:
+		f.Gate.Log.Warn().Err(err).Str("to", st.to).Msg("stream refused before it was placed")
+	case !p.Ask():
 		st.finish("resource-constraint", retryAfter(500))
-		return
+	default:
+		e.Until(0)
+		call = f.X.Open(memory.Ask{Class: host.Class, Tenant: host.Tenant, Key: host.Key, Left: host.Left, Payload: st}, clientEnd{e, st})
+		f.follow(call, st, r)
+	}
+	p.Ending()
+	e.Drain()
+	p.Closed()
+	if call != nil {
+		<-call.Finished()
 	}
-	e.Until(0)
-	call := f.X.Open(memory.Ask{Class: host.Class, Tenant: host.Tenant, Key: host.Key, Left: host.Left, Payload: st}, clientEnd{e, st})
-	f.follow(call, st, r)
 }
 
-// header takes the client's start tag, after STARTTLS where there is a certificate.
-func (f *Front) header(e *link.End, st *stream) (*reader, Host, error) {
+// header takes the client's start tag, after STARTTLS where there is a certificate; all of it by a time that
+// no step renews.
+func (f *Front) header(e *link.End, st *stream, until float64) (*reader, Host, error) {
 	r := newReader(e.Conn)
 	host, err := f.start(st, r)
 	config := f.TLS.Load()
@@ -93,14 +79,14 @@
 		return r, host, err
 	}
 	secure := tls.Server(e.Conn, config)
-	ctx, stop := context.WithTimeout(context.Background(), memory.Duration(headerWithin))
+	ctx, stop := context.WithTimeout(context.Background(), memory.Duration(until-f.X.Clock.Now()))
 	defer stop()
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return r, host, fmt.Errorf("TLS: %w", err)
 	}
 	e.Attach(secure)
 	st.header = false // the client begins a new stream, and is owed a new start tag
-	e.Until(f.X.Clock.Now() + headerWithin)
+	e.Until(until)
 	r = newReader(secure)
 	host, err = f.start(st, r)
 	return r, host, err
@@ -155,7 +141,7 @@
 			}
 			st.client.Until(0)
 		case ours(err):
-			f.Log.Warn().Err(err).Str("to", st.to).Msg("stream ended for what its client sent")
+			f.Gate.Log.Warn().Err(err).Str("to", st.to).Msg("stream ended for what its client sent")
 			st.finish(err.Error(), "")
 			call.Leave(memory.Clean)
 			return
--- a/internal/wire/xmpp/server.go
+++ b/internal/wire/xmpp/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"strings"
 
 	"github.com/rs/zerolog"
@@ -37,7 +36,7 @@
 	}
 	conn, err := link.Dial(ctx, a.Server.Address, min(a.Until-s.Clock.Now(), s.ConnectTimeout))
 	if err != nil {
-		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
+		c.Over(a.No, link.Undialled(err), decide.NoReport)
 		return
 	}
 	defer conn.Close()
@@ -235,7 +234,7 @@
 func (at *attempt) flush(all bool) error {
 	for {
 		now := at.s.Clock.Now()
-		if late := at.pingAfter > 0 && now-at.since >= at.s.Silent*2/5; !all && (late || len(at.unconfirmed) >= maxQueue) {
+		if late := at.pingAfter > 0 && now-at.since >= at.s.Silent*2/5; !all && (late || len(at.unconfirmed) >= maxQueue || size(at.unconfirmed) >= maxBytes) {
 			return nil
 		}
 		it, ok := at.st.pop()
@@ -252,6 +251,13 @@
 	}
 }
 
+func size(items []item) (n int) {
+	for _, it := range items {
+		n += len(it.raw)
+	}
+	return n
+}
+
 // wakeAt is when the server's silence is to be looked at.
 func (at *attempt) wakeAt() float64 {
 	switch {
@@ -340,11 +346,7 @@
 	report.Load = to.Load
 	conn, err := link.Dial(context.Background(), to.Address, s.ConnectTimeout)
 	if err != nil {
-		var slow net.Error
-		if errors.As(err, &slow) && slow.Timeout() {
-			return decide.TimedOut, report
-		}
-		return decide.ConnectFailed, report
+		return link.Unprobed(err), report
 	}
 	defer conn.Close()
 	conn.SetDeadline(s.Clock.Wall(s.Clock.Now() + s.ConnectTimeout))
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -18,7 +18,8 @@
 	retryNS   = "urn:capersail:retry"
 	tlsNS     = "urn:ietf:params:xml:ns:xmpp-tls"
 
-	maxQueue = 64 // items that wait for the server, or that it has not confirmed
+	maxQueue = 64        // items that wait for the server, or that it has not confirmed
+	maxBytes = 128 << 10 // and bytes of each: a few big stanzas are as much as many small ones
 )
 
 // stream is what the two sides of one call share: the client's writing end and the queue of what the
@@ -31,6 +32,7 @@
 	mu       sync.Mutex
 	room     *sync.Cond
 	queue    []item
+	bytes    int // of the queue
 	over     bool
 	header   bool   // the client has a start tag
 	final    bool   // and its one outcome
@@ -49,13 +51,14 @@
 func (st *stream) push(it item) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for len(st.queue) >= maxQueue && !st.over {
+	for (len(st.queue) >= maxQueue || st.bytes >= maxBytes) && !st.over {
 		st.room.Wait()
 	}
 	if st.over {
 		return false
 	}
 	st.queue = append(st.queue, it)
+	st.bytes += len(it.raw)
 	return true
 }
 
@@ -67,6 +70,7 @@
 	}
 	it := st.queue[0]
 	st.queue = st.queue[1:]
+	st.bytes -= len(it.raw)
 	st.room.Signal()
 	return it, true
 }
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -141,7 +141,7 @@
 	}
 	raw, err := link.Dial(ctx, a.Server.Address, min(a.Until-d.clock.Now(), d.cfg.ConnectMs))
 	if err != nil {
-		c.Over(a.No, decide.ConnectFailed, decide.NoReport)
+		c.Over(a.No, link.Undialled(err), decide.NoReport)
 		return
 	}
 	placed.Conn = raw // Begin and Up order this before every use by the client side
@@ -160,14 +160,10 @@
 		report, status := decide.NoReport, decide.OK
 		report.Load = to.Load
 		raw, err := link.Dial(context.Background(), to.Address, d.cfg.ConnectMs)
-		var slow net.Error
-		switch {
-		case err == nil:
+		if err == nil {
 			raw.Close()
-		case errors.As(err, &slow) && slow.Timeout():
-			status = decide.TimedOut
-		default:
-			status = decide.ConnectFailed
+		} else {
+			status = link.Unprobed(err)
 		}
 		done(status, report)
 	}()
