Leave late and evenly, and bound what a connection is believed to add by the quotas

A trace of the module's events beside its books shows two causes. (1) leave() moved everyone within 1.3 s; the relay before it is down for 4.4 s and the next leaves after 3.0 s, so the clients had no relay to come to. (2) The other relay, with 8 of 57 connections, believed that each adds 0.18 of a backend (0.04 in truth: learn() takes its own connections times the relays, and counted replaced backends too) and refused 118 of 133 that came back; one just started knew nothing and sent 41 in a row to two backends (load 0.1 to 1.34), to move 21 of them again. Ruled out: discovery (followed), CPU (0.03 s in the worst second), descriptors (82 of 480). Now moves are spread over the second half of a leave, and the tenants' quotas, which are given as a part of the capacity, bound what is learnt and stand for it in a pick before that.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,6 +24,8 @@
 	hotLoad       = 0.85                    // a backend over this is overdriven
 	reportLag     = 400 * time.Millisecond  // a report is this old before the next one comes
 	noteEvery     = 1100 * time.Millisecond // a note of delay comes again within this
+	quotaOfAll    = 0.8                     // part of all backends' capacity that tenants' quotas add up to
+	overQuota     = 2.5                     // most that a connection adds, by what groups pay, over its mean
 	groupLoad     = 0.6                     // a group goes to its next backend beyond this
 	stillFor      = 2                       // probes in a row that a silent backend leaves unanswered
 	errorHold     = 4 * time.Second         // an erring backend is left out for up to this, doubling
@@ -255,20 +257,34 @@
 
 // learn follows what a connection adds to a warm backend's load, as mean load over mean connections held.
 // Where no report counts those, they are this relay's own times the relays, spread over the fleet. A cold
-// backend's few say too little: a new relay once took a connection for nothing, its budget for endless.
+// backend's few say too little: a new relay once took a connection for nothing, its budget for endless. And a
+// relay's own tell little where others hold more: one with 8 of 57 took each for a sixth of a backend, and
+// refused what came from the others at their restart. So the tenants' quotas bound what is learnt.
 func (b *Balancer) learn(s *server, report Report) {
 	if b.warmth(s) < 1 {
 		return
 	}
 	conns := report.Inflight
 	if conns < 0 {
-		conns = float64(b.held*b.set.Relays) / float64(len(b.fleet))
+		conns = float64(b.held*b.set.Relays) / float64(max(b.listed(), 1))
 	}
 	b.loads += (s.load - b.loads) / 8
 	b.conns += (conns - b.conns) / 8
 	if b.conns >= 1 {
 		b.perConn = b.loads / b.conns
 	}
+	if mean := b.supposed(); mean > 0 {
+		b.perConn = min(b.perConn, overQuota*mean)
+	}
+}
+
+// supposed is what a connection adds by what the tenants' quotas make of it, 0 where those are not told.
+func (b *Balancer) supposed() float64 {
+	b.most = max(b.most, b.listed()) // not fewer: a quota does not follow a crash
+	if b.quota == 0 {
+		return 0
+	}
+	return quotaOfAll * float64(b.most) / b.quota
 }
 
 // lateness is the part of messages that come late at a load; what crossing zones costs is weighed against it.
@@ -276,7 +292,7 @@
 
 // estimate is a backend's load now: its reading and what this relay has added since.
 func (b *Balancer) estimate(s *server) float64 {
-	load := s.load + float64(s.placed)*b.perConn
+	load := s.load + float64(s.placed)*max(b.perConn, b.supposed())
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,6 +71,8 @@
 	loads    float64 // mean of warm backends' readings
 	conns    float64 // mean of the connections they hold
 	perConn  float64 // load that a connection adds, as a part of a backend's capacity
+	quota    float64 // connections of all tenants within their shares, 0 if not told
+	most     int     // backends listed at once so far
 	mean     float64 // load of the pool
 	held     int     // own open connections
 	began    time.Duration
@@ -108,6 +110,9 @@
 	for i := range b.tokens {
 		b.tokens[i] = retryBurst
 	}
+	for _, t := range set.Tenants {
+		b.quota += t.Quota
+	}
 	return b
 }
 
@@ -154,6 +159,14 @@
 	}
 }
 
+// listed is how many backends may be given work.
+func (b *Balancer) listed() (n int) {
+	for _, zone := range b.zones {
+		n += len(zone)
+	}
+	return n
+}
+
 func (b *Balancer) swap(list []Backend, i, j int) {
 	list[i], list[j] = list[j], list[i]
 	b.fleet[list[i]].pos, b.fleet[list[j]].pos = i, j
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -25,10 +26,10 @@
 	probeSockets = 16 // and those of connections kept for probes; a site with more servers dials for some probes
 	leastSockets = 64
 	anySockets   = 1 << 20 // where no limit is told
-	moveOver     = 1500.0  // open connections are moved over this time, so that their clients do not return at once
 	moveStep     = 50.0
-	graceAfter   = 300.0 // after the longest deadline; SIGKILL comes 700 ms after it at the earliest
-	leastLeave   = 700.0 // new connections go on coming for up to 400 ms after SIGTERM
+	longestLeave = 3000.0 // the longest deadline, where it is longer, counts as this
+	graceAfter   = 300.0  // after that time; SIGKILL comes 700 ms after it at the earliest
+	leastLeave   = 700.0  // new connections go on coming for up to 400 ms after SIGTERM
 )
 
 // limit fits the runtime into the machine: one core, and a heap that stays under the memory limit, which the
@@ -208,20 +209,28 @@
 }
 
 // leave goes on accepting, moves everyone, and sees that whatever is held has its answer before SIGKILL.
+//
+// Open connections are served until the second half of the time there is, and moved over that half. In a rolling
+// restart the relay before this one may be down still: whoever is moved at once finds no relay to come to. And
+// all at once they would find every server loaded, as reports are a second old and still count them.
 func leave(r *relay) {
 	r.x.Drain()
-	began := r.x.Clock.Now()
+	began, time, all := r.x.Clock.Now(), min(r.longest, longestLeave), r.x.MoveSome(0)
 	pause := func(ms float64) { <-r.x.Clock.After(ms) }
-	left := r.x.MoveSome(0)
-	each := int(float64(left)*moveStep/moveOver) + 1
-	for r.x.Clock.Now() < began+min(r.longest, 3000)+graceAfter {
-		left = r.x.MoveSome(each)
-		if left == 0 && r.x.Clock.Now() >= began+leastLeave {
+	for now := began; now < began+time+graceAfter; now = r.x.Clock.Now() {
+		n := r.x.MoveSome(0) - staying(all, now-began, time)
+		if left := r.x.MoveSome(n); left == 0 && now >= began+leastLeave {
 			return
 		}
 		pause(moveStep)
 	}
 	r.x.FailAll()
-	r.x.MoveSome(left)
+	r.x.MoveSome(r.x.MoveSome(0))
 	pause(2 * moveStep)
 }
+
+// staying is how many of all calls may still be there at some point of a leave that takes so much time.
+func staying(all int, since, time float64) int {
+	part := (time - since) / (time / 2)
+	return int(math.Ceil(float64(all) * max(0, min(part, 1))))
+}
