Check three beliefs of the module against a trace: erring servers, old readings, moves

(1) A server that had begun to drain answered two probes with ERR, 0.5 s before the list told; look() took it for silent and moved its 10 connections at a stroke, to refuse 41 of the 60 requests that followed. (2) A relay just back sent 20 to a server read at 0.14; the next probe, 0.7 s later, brought 0.137 again (a report is refreshed each 0.3 to 1.4 s and comes 0.2 to 0.5 s late), which set its own placements to 0: at 1.07 the server went unseen for 4.3 s. (3) A relay that is back at 17.41 gets its first client at 18.25, when the front has noticed: who is moved off the next relay before that has nowhere to go. Now an answer of ERR leaves a server out of new placements only; placements count on until a reading 0.7 s younger; servers are watched by the estimate; a leave moves in its last three tenths.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,7 +22,7 @@
 	watchEvery    = 2 * time.Second         // held backends are looked at this often
 	busyLoad      = 0.5                     // held backends are watched while the pool's mean is over this
 	hotLoad       = 0.85                    // a backend over this is overdriven
-	reportLag     = 400 * time.Millisecond  // a report is this old before the next one comes
+	reportLag     = 700 * time.Millisecond  // a reading counts nothing that is younger than this
 	noteEvery     = 1100 * time.Millisecond // a note of delay comes again within this
 	quotaOfAll    = 0.8                     // part of all backends' capacity that tenants' quotas add up to
 	overQuota     = 2.5                     // most that a connection adds, by what groups pay, over its mean
@@ -212,7 +212,8 @@
 		if s.bad && s.errs == 0 && e.Report.Load < b.mean/2 {
 			s.chill(b.now) // it holds next to nothing: a new process, which the list will tell of later
 		}
-		if s.silent, s.placed = 0, 0; s.errs == 0 || b.now >= s.badTill {
+		s.settle(b.now - reportLag)
+		if s.silent, s.mute = 0, 0; s.errs == 0 || b.now >= s.badTill {
 			s.bad = false
 		}
 		b.probeRTT = max(e.Took, b.probeRTT-b.probeRTT/16)
@@ -220,11 +221,15 @@
 	case e.Status == Full || e.Status == Moot: // too many probes; it says nothing of its health
 	default:
 		b.leave(s, e.Status)
-		s.silent++
+		if s.silent++; e.Status == Errored {
+			s.mute = 0
+		} else {
+			s.mute++
+		}
 		// It is probed again after a back-off, not on every arrival that meets it.
 		s.badTill = b.now + b.jittered(freshFor/2, s.silent-stillFor, errorHold)
 	}
-	if len(s.held) > 0 {
+	if len(s.held) > 0 && (e.Status == OK || s.mute > 0) { // one that answers with an error still serves them
 		b.look(e.Backend, s)
 	}
 	i := 0
@@ -292,7 +297,7 @@
 
 // estimate is a backend's load now: its reading and what this relay has added since.
 func (b *Balancer) estimate(s *server) float64 {
-	load := s.load + float64(s.placed)*max(b.perConn, b.supposed())
+	load := s.load + float64(len(s.placed))*max(b.perConn, b.supposed())
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
@@ -391,7 +396,7 @@
 	s := &b.fleet[pick]
 	r.backend, r.phase, r.sentAt = pick, sent, b.now
 	r.attempts++
-	s.placed++
+	s.placed = append(s.placed, b.now)
 	b.hold(r)
 	b.do(Send{ID: r.ID, Backend: pick, Timeout: b.timeout(r)})
 }
@@ -550,7 +555,8 @@
 	case wakeWatch:
 		b.watching = false
 		for i, dark := 0, !b.set.TellsDelay; i < len(b.fleet); i++ { // then one busy or unread is watched too
-			if s := &b.fleet[i]; len(s.held) > 0 && (b.mean > busyLoad || dark && (s.load == 0 || s.load > busyLoad)) {
+			s := &b.fleet[i]
+			if len(s.held) > 0 && (b.mean > busyLoad || dark && (s.load == 0 || b.estimate(s) > busyLoad)) {
 				b.probe(Backend(i))
 			}
 		}
@@ -574,8 +580,8 @@
 func (b *Balancer) look(id Backend, s *server) {
 	part := 1.0
 	switch {
-	case s.silent > 0:
-		if s.silent < stillFor {
+	case s.mute > 0:
+		if s.mute < stillFor {
 			b.probe(id)
 			return
 		}
@@ -592,7 +598,7 @@
 		if r := b.reqs[held]; r != nil && r.phase == open && b.rng.Float64() < part {
 			b.do(Move{ID: held})
 			r.phase = done
-			b.fleet[pick].placed++
+			b.fleet[pick].placed = append(b.fleet[pick].placed, b.now)
 		}
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -753,3 +753,41 @@
 		t.Errorf("a connection adds %.3f, by the quotas about %.3f", got, mean)
 	}
 }
+
+// A draining server answers probes with errors seconds before the list tells of it, and serves on what is open there.
+// All its connections were once moved at a stroke, onto servers that had no room for them yet.
+func TestAServerThatErrsKeepsItsConnections(t *testing.T) {
+	r := holdOn(t, settings(), 4, map[Backend]float64{0: 0.6, 1: 0.6, 2: 0.1, 3: 0.1, 4: 0.1, 5: 0.1})
+	on := Backend(0)
+	var acts []Action
+	for range 4 {
+		acts = append(acts, r.pass(200*ms).do(Probed{Backend: on, Status: Errored, Took: ms, Report: NoReport})...)
+	}
+	if moves := all[Move](acts); len(moves) > 0 {
+		t.Errorf("%d were moved off a server that answers", len(moves))
+	}
+	if !r.b.fleet[on].bad {
+		t.Error("an erring server is still given new connections")
+	}
+}
+
+// A report is up to a second old when it is read. Twenty placed within 300 ms once counted for nothing after a
+// probe that brought the old figure again, and the server's overload went unseen for 4 s.
+func TestAnOldReadingDoesNotHidePlacements(t *testing.T) {
+	r := newRelay(t, settings(), 1, 1)
+	r.b.perConn = 0.05
+	loads := map[Backend]float64{0: 0.1}
+	for id := RequestID(1); id <= 4; id++ {
+		r.place(ask(id), loads)
+	}
+	read := func() float64 {
+		r.do(Probed{Backend: 0, Took: ms, Report: Report{Load: 0.1, Inflight: 2, Errors: -1, Busy: -1}})
+		return r.b.estimate(&r.b.fleet[0])
+	}
+	if got := r.pass(reportLag / 2); read() < 0.2 {
+		t.Errorf("%v after four placements: %v", reportLag/2, r.b.estimate(&got.b.fleet[0]))
+	}
+	if r.pass(reportLag); read() > 0.11 {
+		t.Error("placements are counted beside a reading that counts them")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -40,14 +40,15 @@
 	load      float64       // at the last reading
 	readAt    time.Duration // when that came, -1 if it may not be used
 	pooled    bool
-	probeTill time.Duration // a probe is under way, or lost, until then
-	placed    int           // own placements since the reading
-	held      []RequestID   // own open connections and attempts
-	bad       bool          // failed, erred or silent: out until a good probe
+	probeTill time.Duration   // a probe is under way, or lost, until then
+	placed    []time.Duration // when, own placements that the reading may not count yet
+	held      []RequestID     // own open connections and attempts
+	bad       bool            // failed, erred or silent: out until a good probe
 	badTill   time.Duration
 	lagTill   time.Duration // a message there was late; it is taken for full until then
 	errs      int           // failures in a row
-	silent    int           // probes in a row that found nothing
+	silent    int           // probes in a row that brought no reading
+	mute      int           // and no answer at all
 	coldAt    time.Duration // start of its warm-up, -1 if warm
 }
 
@@ -121,6 +122,15 @@
 	s.coldAt, s.errs, s.readAt = at, 0, -1
 }
 
+// settle drops the placements that a reading counts: those made before it was taken.
+func (s *server) settle(taken time.Duration) {
+	i := 0
+	for i < len(s.placed) && s.placed[i] <= taken {
+		i++
+	}
+	s.placed = slices.Delete(s.placed, 0, i)
+}
+
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
 func (b *Balancer) wake(kind, id uint64, after time.Duration) {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -28,6 +28,7 @@
 	anySockets   = 1 << 20 // where no limit is told
 	moveStep     = 50.0
 	longestLeave = 3000.0 // the longest deadline, where it is longer, counts as this
+	holdPart     = 0.7    // part of that time in which open connections are served on
 	graceAfter   = 300.0  // after that time; SIGKILL comes 700 ms after it at the earliest
 	leastLeave   = 700.0  // new connections go on coming for up to 400 ms after SIGTERM
 )
@@ -210,9 +211,9 @@
 
 // leave goes on accepting, moves everyone, and sees that whatever is held has its answer before SIGKILL.
 //
-// Open connections are served until the second half of the time there is, and moved over that half. In a rolling
-// restart the relay before this one may be down still: whoever is moved at once finds no relay to come to. And
-// all at once they would find every server loaded, as reports are a second old and still count them.
+// Open connections are served for most of the time there is, and moved evenly over the rest. In a rolling restart
+// the relay before this one may be down still: whoever is moved at once finds no relay to come to. And all at
+// once they would find every server loaded, as reports are a second old and still count them.
 func leave(r *relay) {
 	r.x.Drain()
 	began, time, all := r.x.Clock.Now(), min(r.longest, longestLeave), r.x.MoveSome(0)
@@ -231,6 +232,6 @@
 
 // staying is how many of all calls may still be there at some point of a leave that takes so much time.
 func staying(all int, since, time float64) int {
-	part := (time - since) / (time / 2)
+	part := (time - since) / (time * (1 - holdPart))
 	return int(math.Ceil(float64(all) * max(0, min(part, 1))))
 }
