--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,10 +17,11 @@
 	retryEarned   = 0.2                     // retry tokens that an arrival earns its tenant
 	retryBurst    = 2.0                     // most tokens a tenant can save up
 	lateExponent  = 4                       // how steeply messages turn late as load nears capacity
-	fullLoad      = 0.65                    // no backend is given more beyond this load; most is served near it
+	fullLoad      = 0.75                    // no backend is given more beyond this load; most is served near it
 	coldShare     = 0.8                     // part of a cold backend's budget that all relays together use
 	watchEvery    = 2 * time.Second         // held backends are looked at this often
 	busyLoad      = 0.5                     // held backends are watched while the pool's mean is over this
+	easeLoad      = 0.65                    // an overdriven backend is brought down to this, onto ones under it
 	hotLoad       = 0.85                    // a backend over this is overdriven
 	reportLag     = 700 * time.Millisecond  // a reading counts nothing that is younger than this
 	noteEvery     = 1100 * time.Millisecond // a note of delay comes again within this
@@ -570,7 +571,7 @@
 func (b *Balancer) watch() {
 	if !b.watching && b.held > 0 {
 		b.watching = true
-		b.wake(wakeWatch, 0, watchEvery/2+time.Duration(b.jitter*float64(watchEvery)))
+		b.wake(wakeWatch, 0, watchEvery/2+time.Duration(b.jitter*float64(watchEvery/4)))
 	}
 }
 
@@ -585,14 +586,14 @@
 			b.probe(id)
 			return
 		}
-	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+fullLoad)/2:
-		part = (s.load - fullLoad) / s.load
+	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+easeLoad)/2:
+		part = (s.load - easeLoad) / s.load
 	default:
 		return
 	}
 	for _, held := range s.held {
 		pick, _ := b.best(&request{ranOn: -1})
-		if pick < 0 || pick == id || b.estimate(&b.fleet[pick]) > fullLoad {
+		if pick < 0 || pick == id || b.estimate(&b.fleet[pick]) > easeLoad {
 			return
 		}
 		if r := b.reqs[held]; r != nil && r.phase == open && b.rng.Float64() < part {
