Do not take a server without a report for idle, nor move an excess twice

At 1.25 s a server answered a probe without a load, as it has no report yet; read() made that 0, learn() took it in, and 3 clients were moved off a server at 1.04 onto it, which held 17 and came out at 0.97. Looks judged a reading that is up to 2 s old, so what had just been moved was moved again. Now a server without a report counts what this relay holds there, and stays to be read; connections that left count until a reading does, as placements do; a look moves the exact part in excess.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -246,11 +246,12 @@
 }
 
 func (b *Balancer) read(s *server, e Probed) {
-	s.load = e.Report.Load
-	if s.load < 0 {
-		s.load = max(e.Report.Busy, 0)
+	s.load = max(e.Report.Load, e.Report.Busy)
+	if s.guess = s.load < 0; s.guess { // none yet, as at a start: what this relay holds there is all there is
+		s.load = min(float64(len(s.held)*b.set.Relays)*b.supposed(), easeLoad)
+	} else {
+		b.learn(s, e.Report)
 	}
-	b.learn(s, e.Report)
 	if s.bad || s.pos < 0 {
 		return
 	}
@@ -298,7 +299,7 @@
 
 // estimate is a backend's load now: its reading and what this relay has added since.
 func (b *Balancer) estimate(s *server) float64 {
-	load := s.load + float64(len(s.placed))*max(b.perConn, b.supposed())
+	load := max(s.load+float64(len(s.placed)-len(s.left))*max(b.perConn, b.supposed()), 0)
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
@@ -557,7 +558,7 @@
 		b.watching = false
 		for i, dark := 0, !b.set.TellsDelay; i < len(b.fleet); i++ { // then one busy or unread is watched too
 			s := &b.fleet[i]
-			if len(s.held) > 0 && (b.mean > busyLoad || dark && (s.load == 0 || b.estimate(s) > busyLoad)) {
+			if len(s.held) > 0 && (b.mean > busyLoad || dark && (s.load == 0 || s.guess || b.estimate(s) > busyLoad)) {
 				b.probe(Backend(i))
 			}
 		}
@@ -579,24 +580,28 @@
 // part of the excess, drawn at random; off a silent one each goes after its own look. Nothing moves
 // unless the pool has a better place: if everything looks bad, it is better to stay.
 func (b *Balancer) look(id Backend, s *server) {
-	part := 1.0
+	part, load := 1.0, b.estimate(s)
 	switch {
 	case s.mute > 0:
 		if s.mute < stillFor {
 			b.probe(id)
 			return
 		}
-	case s.load > hotLoad && b.now < s.lagTill, !b.set.TellsDelay && s.load > (hotLoad+easeLoad)/2:
+	case s.load > hotLoad && b.now < s.lagTill:
 		part = (s.load - easeLoad) / s.load
+	case !b.set.TellsDelay && load > (hotLoad+easeLoad)/2: // what has left since the reading is not moved again
+		part = (load - easeLoad) / load
 	default:
 		return
 	}
-	for _, held := range s.held {
+	n := int(part*float64(len(s.held)) + b.rng.Float64()) // so many of them, drawn at random
+	for i, held := range s.held {
 		pick, _ := b.best(&request{ranOn: -1})
 		if pick < 0 || pick == id || b.estimate(&b.fleet[pick]) > easeLoad {
 			return
 		}
-		if r := b.reqs[held]; r != nil && r.phase == open && b.rng.Float64() < part {
+		if r := b.reqs[held]; r != nil && r.phase == open && b.rng.Float64()*float64(len(s.held)-i) < float64(n) {
+			n--
 			b.do(Move{ID: held})
 			r.phase = done
 			b.fleet[pick].placed = append(b.fleet[pick].placed, b.now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -791,3 +791,46 @@
 		t.Error("placements are counted beside a reading that counts them")
 	}
 }
+
+// For its first second or two a server has no report yet. That was taken for a load of 0: clients were moved off a
+// server at 1.04 onto one with three times its connections. It stays to be read, and counts what is held there.
+func TestAServerWithoutAReportIsNotIdle(t *testing.T) {
+	set := settings()
+	set.Relays, set.Tenants[0].Quota = 3, 60
+	r := newRelay(t, set, 1, 2)
+	for id := RequestID(1); id <= 10; id++ {
+		r.do(Inherited{Request: ask(id), Backend: 0})
+	}
+	r.do(Probed{Backend: 0, Took: ms, Report: NoReport})
+	r.do(Probed{Backend: 1, Took: ms, Report: Report{Load: 0.3, Inflight: -1, Errors: -1, Busy: -1}})
+	if got := all[Send](r.do(ask(20))); len(got) != 1 || got[0].Backend != 1 {
+		t.Errorf("placed as %v beside a server that holds ten and has no report", got)
+	}
+	probes := all[Probe](r.pass(2 * watchEvery).do(Alarm{Token: wakeWatch}))
+	if !slices.Contains(probes, Probe{Backend: 0}) {
+		t.Errorf("the watch asks %v, not the server without a report", probes)
+	}
+}
+
+// A look that comes before the next report must not move off a server once more what has just left it.
+func TestOneExcessIsMovedOnce(t *testing.T) {
+	set := settings()
+	set.Relays, set.Tenants[0].Quota, set.TellsDelay = 1, 100, false
+	r := newRelay(t, set, 1, 4)
+	for id := RequestID(1); id <= 30; id++ {
+		r.do(Inherited{Request: ask(id), Backend: 0})
+	}
+	moved := 0
+	for range 4 {
+		r.pass(reportLag / 5)
+		for on, load := range []float64{1, 0.1, 0.1, 0.1} {
+			for _, m := range all[Move](r.do(Probed{Backend: Backend(on), Took: ms, Report: Report{Load: load, Inflight: load * 30, Errors: -1, Busy: -1}})) {
+				moved++
+				r.do(Outcome{ID: m.ID, Backend: 0, Status: Cancelled, Closed: true})
+			}
+		}
+	}
+	if moved < 5 || moved > 14 {
+		t.Errorf("%d of 30 were moved off a server at 1.0; about 11 bring it to 0.65", moved)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,6 +43,8 @@
 	probeTill time.Duration   // a probe is under way, or lost, until then
 	placed    []time.Duration // when, own placements that the reading may not count yet
 	held      []RequestID     // own open connections and attempts
+	left      []time.Duration // the same of own connections that are gone
+	guess     bool            // no reading has come yet: the load is what this relay holds there
 	bad       bool            // failed, erred or silent: out until a good probe
 	badTill   time.Duration
 	lagTill   time.Duration // a message there was late; it is taken for full until then
@@ -124,11 +126,9 @@
 
 // settle drops the placements that a reading counts: those made before it was taken.
 func (s *server) settle(taken time.Duration) {
-	i := 0
-	for i < len(s.placed) && s.placed[i] <= taken {
-		i++
+	for _, list := range []*[]time.Duration{&s.placed, &s.left} {
+		*list = slices.DeleteFunc(*list, func(at time.Duration) bool { return at <= taken })
 	}
-	s.placed = slices.Delete(s.placed, 0, i)
 }
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
@@ -220,6 +220,7 @@
 	s := b.server(r.backend)
 	if i := slices.Index(s.held, r.ID); i >= 0 {
 		s.held = slices.Delete(s.held, i, i+1)
+		s.left = append(s.left, b.now)
 		b.held--
 	}
 }
