--- a/internal/lifecycle/xmpp_test.go
+++ b/internal/lifecycle/xmpp_test.go
@@ -31,6 +31,7 @@
 	zk      *standin.ZooKeeper
 	address string
 	relay   *relay
+	path    string // of the operator's file
 }
 
 const operatorText = `listen = "127.0.0.1:0"
@@ -72,7 +73,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { r.listener.Close() })
-	return &xmppBench{t, zk, r.listener.Addr().String(), r}
+	return &xmppBench{t, zk, r.listener.Addr().String(), r, path}
 }
 
 // server starts an XMPP server with a node of its own, and waits until the relay has read that.
@@ -415,3 +416,49 @@
 	b.zk.Set("bad", "no JSON")
 	b.server("n3", "")
 }
+
+// A reload follows another service of ephemeral nodes: the streams that stand live on, new ones go to its servers, and
+// what it does not list is gone. A file that cannot be used changes nothing, and the error names its key.
+func TestXMPPReload(t *testing.T) {
+	b := newXMPPBench(t, "plaintext = true")
+	b.server("n1", "")
+	c := b.dial()
+	b.want("set-up", c.up(), "up")
+	other, err := standin.NewZooKeeper("/alerts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text []byte) error {
+		if err := os.WriteFile(b.path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return b.relay.reload()
+	}
+	for key, text := range map[string]string{
+		"session_ms":        strings.Replace(operatorText, "3000", "'soon'", 1),
+		"zookeeper.servers": strings.Replace(operatorText, `servers = ["%s"]`, "", 1) + "#%s",
+		"certificate":       strings.Replace(operatorText, "%s", "certificate = 'none'\nkey = 'none'\n#%s", 1),
+	} {
+		if err := reload(fmt.Appendf(nil, text, "plaintext = true", other.Address)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+	b.want("a stream at the old server", b.dial().up(), "up")
+	if err := reload(fmt.Appendf(nil, operatorText, "plaintext = true", other.Address)); err != nil {
+		t.Fatal(err)
+	}
+	b.zk = other
+	b.server("n2", "")
+	for i := 0; ; i++ { // until the new list has come n1 may still be given streams
+		if !b.relay.x.Listed("n1") {
+			break
+		}
+		if i > 1000 {
+			t.Fatal("what the new service does not list is kept")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	b.want("a stream at the new server", b.dial().up(), "up")
+	fmt.Fprint(c, "<message id='m1' to='x'/>")
+	b.want("the old stream lives on", c.next(), "message m1")
+}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -607,3 +607,11 @@
 	}
 	return Server{}, false
 }
+
+// Listed tells whether the newest list has a server ready for new connections.
+func (x *Exchange) Listed(id string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.roster.byID[id]
+	return s != nil && s.mode == decide.Ready
+}
