--- /dev/null
+++ b/internal/token/keyfile.go
@@ -0,0 +1,55 @@
+package token
+
+import (
+	"encoding/base64"
+	"fmt"
+	"io/fs"
+
+	"github.com/BurntSushi/toml"
+)
+
+// MaxKeyFile bounds a key file.
+const MaxKeyFile = 64 << 10
+
+// CheckMode refuses a key file that others than its owner can read or write.
+func CheckMode(info fs.FileInfo) error {
+	switch {
+	case !info.Mode().IsRegular():
+		return fmt.Errorf("not a regular file (%s)", info.Mode())
+	case info.Mode().Perm()&0o077 != 0:
+		return fmt.Errorf("mode %04o lets others at the keys; 0600 is wanted", info.Mode().Perm())
+	case info.Size() > MaxKeyFile:
+		return fmt.Errorf("%d bytes; at most %d are wanted", info.Size(), MaxKeyFile)
+	}
+	return nil
+}
+
+// ParseKeys reads a key file: [[key]] tables with id and secret, 32 bytes as standard base64. The first seals.
+// Errors name the key and never show a secret.
+func ParseKeys(text []byte) (*Ring, error) {
+	var file struct {
+		Key []struct {
+			ID     string `toml:"id"`
+			Secret string `toml:"secret"`
+		} `toml:"key"`
+	}
+	meta, err := toml.Decode(string(text), &file)
+	if err != nil {
+		if p, ok := err.(toml.ParseError); ok { // its text shows the line, and with it perhaps a secret
+			return nil, fmt.Errorf("line %d: not TOML", p.Position.Line)
+		}
+		return nil, fmt.Errorf("key: a table with id and secret, both text, is wanted")
+	}
+	for _, key := range meta.Undecoded() {
+		return nil, fmt.Errorf("%s: unknown key", key)
+	}
+	keys := make([]Key, len(file.Key))
+	for i, k := range file.Key {
+		secret, err := base64.StdEncoding.DecodeString(k.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("key %d (%s): secret: not base64", i+1, k.ID)
+		}
+		keys[i] = Key{ID: k.ID, Secret: secret}
+	}
+	return NewRing(keys)
+}
--- /dev/null
+++ b/internal/token/token.go
@@ -0,0 +1,174 @@
+// Package token seals what a relay knows of a stream into a text that a client keeps and shows to any relay
+// that has the same keys. It does no I/O and has no clock: times are Unix times in milliseconds.
+//
+// A token is "cs1.KEYID.BODY": BODY is base64url of a 24-byte nonce and the XChaCha20-Poly1305 sealing
+// (draft-irtf-cfrg-xchacha) of a CBOR map (RFC 8949) with small integer keys. What stands before the body is
+// authenticated with it. Nonces are random: 192 bits never repeat in a key's life.
+package token
+
+import (
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/crypto/chacha20poly1305"
+)
+
+// MaxLen is the longest token as text. First lines have 4 KiB for all their fields.
+const MaxLen = 400
+
+// maxName bounds the names of servers and relays in a token. They only help an operator's eye.
+const maxName = 40
+
+const version = "cs1."
+
+// Why a token is refused. Expired and Mismatch are for the caller to find with Check.
+var (
+	ErrForm     = errors.New("not of a token's form")
+	ErrKey      = errors.New("sealed by an unknown key")
+	ErrForged   = errors.New("does not open")
+	ErrExpired  = errors.New("expired")
+	ErrMismatch = errors.New("of another stream")
+	ErrTooLong  = errors.New("names too long for a token")
+)
+
+// StreamID names a stream at all relays and servers. It is random and says nothing.
+type StreamID [16]byte
+
+// NewStreamID makes an id for a new stream.
+func NewStreamID() (id StreamID) {
+	rand.Read(id[:]) // never fails: crypto/rand ends the program instead
+	return id
+}
+
+func (id StreamID) String() string { return fmt.Sprintf("%x", id[:]) }
+
+// Token is what is sealed. Class and Tenant are names, as numbers differ between configurations.
+type Token struct {
+	Stream     StreamID `cbor:"1,keyasint"`
+	Generation uint64   `cbor:"2,keyasint"` // of the service in which it was given
+	Class      string   `cbor:"3,keyasint"`
+	Tenant     string   `cbor:"4,keyasint,omitempty"`
+	Key        uint64   `cbor:"5,keyasint,omitempty"`
+	Group      uint64   `cbor:"6,keyasint,omitempty"`
+	Position   uint64   `cbor:"7,keyasint"` // the last scan passed on when it was given
+	Server     string   `cbor:"8,keyasint,omitempty"`
+	Relay      string   `cbor:"9,keyasint,omitempty"`
+	Issued     int64    `cbor:"10,keyasint"` // Unix ms
+	Expires    int64    `cbor:"11,keyasint"` // Unix ms
+}
+
+// Check says whether the token is for such a request now. skew is by how much clocks may differ, in ms.
+func (t *Token) Check(class, tenant string, key, group uint64, now, skew int64) error {
+	switch {
+	case now > t.Expires+skew || now < t.Issued-skew:
+		return ErrExpired
+	case t.Class != class || t.Tenant != tenant || t.Key != key || t.Group != group:
+		return ErrMismatch
+	}
+	return nil
+}
+
+// Key is one key of a ring.
+type Key struct {
+	ID     string
+	Secret []byte // 32 bytes
+}
+
+// Ring is a set of keys. The first seals; all open. It is immutable: a new file makes a new Ring.
+type Ring struct {
+	seal    string
+	ciphers map[string]cipher.AEAD
+	random  io.Reader
+}
+
+// NewRing checks keys and makes a ring of them.
+func NewRing(keys []Key) (*Ring, error) {
+	if len(keys) == 0 {
+		return nil, errors.New("key: at least one is wanted")
+	}
+	r := &Ring{seal: keys[0].ID, ciphers: make(map[string]cipher.AEAD, len(keys)), random: rand.Reader}
+	for i, k := range keys {
+		if k.ID == "" || len(k.ID) > 16 || strings.Trim(k.ID, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") != "" {
+			return nil, fmt.Errorf("key %d: id: %q is not 1 to 16 of letters, digits, - and _", i+1, k.ID)
+		}
+		if r.ciphers[k.ID] != nil {
+			return nil, fmt.Errorf("key %d: id: %q stands twice", i+1, k.ID)
+		}
+		c, err := chacha20poly1305.NewX(k.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("key %d (%s): secret: %d bytes, 32 are wanted", i+1, k.ID, len(k.Secret))
+		}
+		r.ciphers[k.ID] = c
+	}
+	return r, nil
+}
+
+// Sealing is the id of the key that seals.
+func (r *Ring) Sealing() string { return r.seal }
+
+// strict refuses what no relay writes: an unknown or repeated field is a token of another version.
+var strict = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxNestedLevels: 4, MaxArrayElements: 16, MaxMapPairs: 16, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic(err) // constants only: cannot fail at run time what passes its tests
+	}
+	return m
+}()
+
+// Seal makes the text. ErrTooLong if the class and tenant have names that no token can hold.
+func (r *Ring) Seal(t *Token) (string, error) {
+	short := *t
+	short.Server, short.Relay = cut(t.Server), cut(t.Relay)
+	body, err := cbor.Marshal(&short)
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	head := version + r.seal + "."
+	c := r.ciphers[r.seal]
+	if len(head)+base64.RawURLEncoding.EncodedLen(c.NonceSize()+len(body)+c.Overhead()) > MaxLen {
+		return "", ErrTooLong
+	}
+	buf := make([]byte, c.NonceSize(), c.NonceSize()+len(body)+c.Overhead())
+	if _, err := io.ReadFull(r.random, buf); err != nil {
+		return "", fmt.Errorf("token: nonce: %w", err)
+	}
+	return head + base64.RawURLEncoding.EncodeToString(c.Seal(buf, buf, body, []byte(head))), nil
+}
+
+func cut(name string) string { return name[:min(len(name), maxName)] }
+
+// Open takes a text apart. It never looks at more than MaxLen bytes.
+func (r *Ring) Open(text string) (*Token, error) {
+	if len(text) > MaxLen || !strings.HasPrefix(text, version) {
+		return nil, ErrForm
+	}
+	id, encoded, ok := strings.Cut(text[len(version):], ".")
+	if !ok {
+		return nil, ErrForm
+	}
+	c := r.ciphers[id]
+	if c == nil {
+		return nil, ErrKey
+	}
+	// Strict: else the spare bits of the last digit make several texts of one token.
+	buf, err := base64.RawURLEncoding.Strict().DecodeString(encoded)
+	if err != nil || strings.ContainsAny(encoded, "\r\n") || len(buf) < c.NonceSize()+c.Overhead() {
+		return nil, ErrForm
+	}
+	body, err := c.Open(nil, buf[:c.NonceSize()], buf[c.NonceSize():], []byte(text[:len(version)+len(id)+1]))
+	if err != nil {
+		return nil, ErrForged
+	}
+	t := &Token{}
+	if err := strict.Unmarshal(body, t); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	return t, nil
+}
