--- a/cmd/capersail/main_test.go
+++ b/cmd/capersail/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -78,6 +79,18 @@
 
 const open = "OPEN 9b1f 7f3a c=map-stream,t=acme,d=2000"
 
+type logLine struct{ Message, Listen, Error string }
+
+// followLogs reads a program's log to its end.
+func followLogs(logs io.Reader, each func(logLine)) {
+	for lines := bufio.NewScanner(logs); lines.Scan(); {
+		var l logLine
+		if json.Unmarshal(lines.Bytes(), &l) == nil {
+			each(l)
+		}
+	}
+}
+
 // start starts the program and returns its address and, as they come, the messages it logs with their errors.
 func start(t *testing.T, config string) (*exec.Cmd, string, <-chan string) {
 	t.Helper()
@@ -92,13 +105,12 @@
 	said, address := make(chan string, 1024), make(chan string, 1)
 	go func() {
 		defer close(said)
-		for lines := bufio.NewScanner(logs); lines.Scan(); {
-			var l struct{ Message, Listen, Error string }
-			if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "serving" {
+		followLogs(logs, func(l logLine) {
+			if l.Message == "serving" {
 				address <- l.Listen
 			}
 			said <- l.Message + ": " + l.Error
-		}
+		})
 	}()
 	return cmd, <-address, said
 }
--- /dev/null
+++ b/cmd/capersail/resume_test.go
@@ -0,0 +1,371 @@
+package main
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"capersail/internal/standin"
+)
+
+// writeKeys writes a key file with keys of the given ids; the first seals.
+func writeKeys(t testing.TB, path string, ids ...string) {
+	t.Helper()
+	text := ""
+	for _, id := range ids {
+		text += fmt.Sprintf("[[key]]\nid = %q\nsecret = %q\n", id, base64.StdEncoding.EncodeToString([]byte(strings.Repeat(id, 32)[:32])))
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fleet is relays as processes, with servers, discovery and the claim service as stand-ins.
+type fleet struct {
+	t       testing.TB
+	zk      *standin.ZooKeeper
+	list    *standin.Discovery
+	feed    *standin.Feed
+	ledger  *standin.Ledger
+	servers []*standin.ScanServer
+	keys    string
+	file    string // resume.toml
+
+	mu     sync.Mutex
+	cmds   map[string]*exec.Cmd // by address
+	alive  []string
+	logs   []string
+	config func(map[string]any)
+}
+
+func newFleet(t testing.TB, servers int, extra string) *fleet {
+	t.Helper()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	f := &fleet{t: t, feed: standin.NewFeed(5000, 50*time.Millisecond, stop), ledger: standin.NewLedger(), cmds: map[string]*exec.Cmd{}}
+	var err error
+	if f.zk, err = standin.NewZooKeeper("/"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.zk.Close)
+	if f.list, err = standin.NewDiscovery("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	f.list.Extra = `,"resumes":true`
+	for i := range servers {
+		s, err := standin.NewScanServer(fmt.Sprint("s", i), "127.0.0.1:0", f.feed, f.ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Kill)
+		f.servers = append(f.servers, s)
+		f.list.Set(s.ID, s.Address, "Ready")
+	}
+	dir := t.TempDir()
+	f.keys, f.file = filepath.Join(dir, "keys.toml"), filepath.Join(dir, "resume.toml")
+	writeKeys(t, f.keys, "a")
+	text := fmt.Sprintf("servers = [%q]\npath = \"/a/streams\"\nsession_ms = 4000\nkeys = %q\nrenew_ms = 500\n%s", f.zk.Address, f.keys, extra)
+	if err := os.WriteFile(f.file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// start starts relay number me of all and returns its address.
+func (f *fleet) start(me, all int) string {
+	f.t.Helper()
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		f.t.Fatal(err)
+	}
+	c["name"], c["listen"], c["discovery"] = fmt.Sprint("n", me), "127.0.0.1:0", f.list.Address
+	c["known"] = json.RawMessage(f.list.Whole())
+	settings := c["settings"].(map[string]any)
+	settings["balancers"], settings["me"] = all, me
+	if f.config != nil {
+		f.config(c)
+	}
+	text, _ = json.Marshal(c)
+	path := filepath.Join(f.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "-resume", f.file)
+	cmd.Env = append(os.Environ(), "CAPERSAIL_RUN=1", "LB_CONFIG="+path)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { cmd.Process.Kill() })
+	address := make(chan string, 1)
+	go followLogs(logs, func(l logLine) {
+		if l.Message == "serving" {
+			address <- l.Listen
+		}
+		f.mu.Lock()
+		f.logs = append(f.logs, fmt.Sprintf("n%d %s %s", me, l.Message, l.Error))
+		f.mu.Unlock()
+	})
+	a := <-address
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cmds[a] = cmd
+	f.alive = append(f.alive, a)
+	return a
+}
+
+// gone takes a relay out of those that clients are sent to.
+func (f *fleet) gone(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, a := range f.alive {
+		if a == address {
+			f.alive = append(append([]string(nil), f.alive[:i]...), f.alive[i+1:]...)
+		}
+	}
+}
+
+func (f *fleet) any() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.alive[rand.IntN(len(f.alive))]
+}
+
+// wait waits for a condition. Its limit only ends a test that hangs.
+func (f *fleet) wait(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(60 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.t.Fatalf("%s: never\n%s", what, strings.Join(f.logs[max(0, len(f.logs)-20):], "\n"))
+		}
+	}
+}
+
+func (f *fleet) claims() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, l := range f.logs {
+		if strings.Contains(l, "claim service: connected") {
+			n++
+		}
+	}
+	return n >= len(f.cmds)
+}
+
+// Streams of numbered scans through a rolling drain of all servers, a kill, a silence, a relay that is killed
+// and one that leaves: nothing is lost or out of turn, never do two servers serve one stream, and each opening
+// gets one answer.
+func TestMovedStreamsLoseNothing(t *testing.T) {
+	const streams = 200
+	f := newFleet(t, 6, "")
+	var relays []string
+	for i := range 3 {
+		relays = append(relays, f.start(i, 3))
+	}
+	f.wait("claim service", f.claims)
+	ctx, stop := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	var viewers []*standin.Viewer
+	for i := range streams {
+		v := &standin.Viewer{Name: fmt.Sprint("v", i), Fields: fmt.Sprintf("%x c=map-stream,t=acme", i+1), Wait: 3 * time.Second,
+			Token: true, Say: 500 * time.Millisecond, Relay: f.any}
+		viewers = append(viewers, v)
+		all.Go(func() { v.Run(ctx) })
+	}
+	current := func() bool { // every stream has come to what is newest now
+		newest := f.feed.Newest()
+		for _, v := range viewers {
+			f.wait("every stream is served", func() bool { return v.Tally().Last >= newest && v.Held() != "" })
+		}
+		return true
+	}
+	current()
+	for _, s := range f.servers { // one after the other drains and comes back
+		f.list.Set(s.ID, s.Address, "Terminating")
+		s.Refuse(true)
+		f.wait("drained", func() bool { return s.SendAway(3) == 0 })
+		s.Refuse(false)
+		f.list.Set(s.ID, s.Address, "Ready")
+	}
+	current()
+	f.servers[0].Kill()
+	f.list.Set("s0", f.servers[0].Address, "Gone")
+	current()
+	f.servers[1].Silence(true)
+	current()
+	f.servers[1].Silence(false)
+	f.gone(relays[1])
+	f.cmds[relays[1]].Process.Kill()
+	current()
+	f.gone(relays[2])
+	f.cmds[relays[2]].Process.Signal(syscall.SIGTERM)
+	if err := f.cmds[relays[2]].Wait(); err != nil {
+		t.Errorf("the relay that left ended with %v", err)
+	}
+	current()
+	stop()
+	all.Wait()
+	moves, breaks, busy := 0, 0, 0
+	for _, v := range viewers {
+		k := v.Tally()
+		moves, breaks, busy = moves+k.Moves, breaks+k.Breaks, busy+k.Busy
+		if k.Lost != 0 || k.Disorder != 0 || k.Failed != 0 {
+			t.Errorf("%s: %+v", v.Name, k)
+		}
+		unanswered := 0
+		for _, n := range k.Notes {
+			if n == "unanswered by "+relays[1] { // it was killed
+				unanswered++
+			} else {
+				t.Errorf("%s: %s", v.Name, n)
+			}
+		}
+		if k.Answers+unanswered != k.Openings {
+			t.Errorf("%s: %d answers to %d openings", v.Name, k.Answers, k.Openings)
+		}
+	}
+	for _, bad := range f.ledger.Bad() {
+		t.Error(bad)
+	}
+	_, served := f.ledger.Serving()
+	if moves < streams || served < 2*streams {
+		t.Errorf("%d moves, %d services: too little happened", moves, served)
+	}
+	t.Logf("%d streams, %d services, %d moves, %d breaks, %d times told to come again, %d scans each", streams, served, moves, breaks,
+		busy, f.feed.Newest())
+}
+
+// Tokens shown to two relays at the same instant, and twice at one: one attempt, one service; the others are
+// refused at once. After the stream has gone on, the token is worth nothing.
+func TestTokenReplayedToTwoRelays(t *testing.T) {
+	f := newFleet(t, 3, "")
+	relays := []string{f.start(0, 2), f.start(1, 2)}
+	f.wait("claim service", f.claims)
+	var inFlight sync.Map // attempts out for a stream, as the servers see them
+	for _, s := range f.servers {
+		s.First = func(line string) {
+			_, rest, _ := strings.Cut(line, ",s=")
+			stream, _, _ := strings.Cut(rest, ",")
+			n, _ := inFlight.LoadOrStore(stream, new(atomic.Int32))
+			n.(*atomic.Int32).Add(1)
+		}
+	}
+	for i := range 50 {
+		name := fmt.Sprintf("k%d", i)
+		opening := func(n int, more string) string {
+			return fmt.Sprintf("OPEN %s-%d %x c=map-stream,t=acme,d=3000,%s", name, n, i+1, more)
+		}
+		first := dial(t, relays[i%2])
+		first.ask(t, opening(0, "resume=new"), "UP")
+		words := first.until(t, "TOKEN")
+		fmt.Fprintf(first, "GOT %s\r\n", words[1])
+		stream := f.zk.Nodes("/a/streams/")
+		first.Close()
+		f.wait("the claim is given back", func() bool { return held(f.zk) == 0 })
+		_ = stream
+		before := total(f.servers)
+		rng := rand.New(rand.NewPCG(uint64(i), 2))
+		barrier := make(chan struct{})
+		answers := make([]string, 4)
+		clients := make([]*client, 4)
+		var all sync.WaitGroup
+		for k := range 4 {
+			at := relays[k%2]
+			if i%5 == 4 { // twice and more at one relay
+				at = relays[0]
+			}
+			late := time.Duration(rng.IntN(3)) * time.Millisecond
+			clients[k] = dial(t, at)
+			all.Go(func() {
+				<-barrier
+				time.Sleep(late)
+				fmt.Fprint(clients[k], opening(k+1, "resume="+words[2]+",pos=1")+"\r\n")
+				answers[k], _ = clients[k].in.ReadString('\n')
+			})
+		}
+		close(barrier)
+		all.Wait()
+		up := -1
+		for k, a := range answers {
+			switch first, _, _ := strings.Cut(strings.TrimSpace(a), " "); {
+			case first == "UP" && up < 0:
+				up = k
+			case first != "BUSY":
+				t.Fatalf("seed %d: %q", i, answers)
+			}
+		}
+		if up < 0 || total(f.servers) != before+1 {
+			t.Fatalf("seed %d: %q, %d attempts", i, answers, total(f.servers)-before)
+		}
+		next := clients[up].until(t, "TOKEN")
+		fmt.Fprintf(clients[up], "GOT %s\r\nM\r\n", next[1])
+		clients[up].until(t, "M") // comes back from the server: GOT was read
+		clients[up].Close()
+		f.wait("the claim is given back", func() bool { return held(f.zk) == 0 })
+		for k, at := range relays { // its successor has arrived
+			c := dial(t, at)
+			fmt.Fprint(c, opening(k+5, "resume="+words[2])+"\r\n")
+			if got, _ := c.in.ReadString('\n'); strings.TrimSpace(got) != "ERR resume behind" {
+				t.Fatalf("seed %d: a token used up was answered %q", i, got)
+			}
+		}
+		if total(f.servers) != before+1 {
+			t.Fatalf("seed %d: a refused token reached a server", i)
+		}
+	}
+	for _, bad := range f.ledger.Bad() {
+		t.Error(bad)
+	}
+}
+
+func total(servers []*standin.ScanServer) (n int) {
+	for _, s := range servers {
+		n += s.Opened()
+	}
+	return n
+}
+
+// held is how many streams are claimed.
+func held(zk *standin.ZooKeeper) (n int) {
+	for _, p := range zk.Nodes("/a/streams/") {
+		if strings.HasSuffix(p, "/holder") {
+			n++
+		}
+	}
+	return n
+}
+
+// until reads to the next line with a first word.
+func (c *client) until(t *testing.T, want string) []string {
+	t.Helper()
+	for {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			t.Fatalf("waiting for %s: %v", want, err)
+		}
+		if words := strings.Fields(line); len(words) > 0 && words[0] == want {
+			return words
+		}
+	}
+}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -11,12 +11,13 @@
 type State uint8
 
 // The states of a call. Held and Trying alternate, once for each attempt; Up and Ended are never left for
-// an earlier one.
+// an earlier one. Claiming comes before all others, and only for calls that go on.
 const (
-	Held   State = iota // no attempt is out; the module has it
-	Trying              // one attempt is out
-	Up                  // it belongs to a server
-	Ended               // answered, or its client has left
+	Held     State = iota // no attempt is out; the module has it
+	Trying                // one attempt is out
+	Up                    // it belongs to a server
+	Ended                 // answered, or its client has left
+	Claiming              // a stream that goes on waits to be this relay's; the module does not know it yet
 )
 
 // Ending is how one side of a call ended, so that the other can be ended in the same way.
@@ -43,6 +44,18 @@
 	Kind       AnswerKind
 	RetryAfter float64 // with Refused, 0 for no advice
 	Cause      decide.Status
+	Note       string // with Failed, what the front may tell the client of the reason
+}
+
+// Claim is a call's right to be served by this relay, where a stream may be at one relay only. Its methods
+// must not block.
+type Claim interface {
+	// Wait tells whether the call is to wait for the claim.
+	Wait() bool
+	// Begin asks for it. It ends in Claimed or Unclaimed where the call waits; later Lapse may follow.
+	Begin(c *Call)
+	// Release gives it back: neither side has anything to do with the call any more.
+	Release()
 }
 
 // Ask is what a client wants, in the module's numbers.
@@ -55,7 +68,8 @@
 	Hint     float64
 	Left     float64 // milliseconds that the client will wait
 	Returned bool
-	Payload  any // what the front's two sides share; nothing here looks at it
+	Claim    Claim // nil for none
+	Payload  any   // what the front's two sides share; nothing here looks at it
 }
 
 // Client is the client side's end of a call. Pass and Close are called by the server side only, once
@@ -129,6 +143,7 @@
 	canceled bool
 	moving   bool
 	silent   bool
+	lapsed   bool // its claim may be lost
 	remote   Remote
 	asked    float64 // when the oldest line went to the server that nothing came back for, 0 if none
 }
@@ -167,20 +182,30 @@
 // that stands fails: to its server it would be a second attempt at that.
 func (x *Exchange) Open(a Ask, client Client) *Call {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	c := x.enter(a, client)
-	if c.double() {
+	switch {
+	case c.double():
 		c.end(Answer{Kind: Failed})
-		return c
+	case x.leaving:
+		c.end(x.elsewhere())
+	case a.Claim != nil && a.Claim.Wait():
+		c.state = Claiming
+	default:
+		x.post(c.request())
 	}
-	if x.leaving {
-		c.end(Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64()})
-		return c
+	begin := a.Claim != nil && c.state != Ended
+	x.mu.Unlock()
+	if begin {
+		a.Claim.Begin(c)
 	}
-	x.post(c.request())
 	return c
 }
 
+// elsewhere is the answer of a relay that is leaving: come again at once, to another.
+func (x *Exchange) elsewhere() Answer {
+	return Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64()}
+}
+
 // Resume takes on a connection that was open at a server before this relay started. The module hears of it
 // once it is up again.
 func (x *Exchange) Resume(a Ask, server string, client Client) *Call {
@@ -211,7 +236,11 @@
 func (c *Call) double() bool { return c.Name != "" && c.x.names[c.Name] != c }
 
 func (c *Call) request() decide.Request {
-	return decide.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Left: Duration(c.Left), Hint: c.Hint,
+	left := c.Left
+	if c.Claim != nil { // the wait for the claim is over, and the client's patience has gone on
+		left = max(0, c.deadline-c.x.Clock.Now())
+	}
+	return decide.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Left: Duration(left), Hint: c.Hint,
 		Group: c.Group, Returned: c.Returned}
 }
 
@@ -254,9 +283,73 @@
 			delete(c.x.names, c.Name)
 		}
 		close(c.finished)
+		if c.Claim != nil { // and never before: an attempt that is out holds the claim
+			c.Claim.Release()
+		}
+	}
+}
+
+// The claim's methods.
+
+// Claimed says that the stream is this relay's: the call goes to the module, as any that comes back. It is
+// false if it waits for that no more.
+func (c *Call) Claimed() bool {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	switch {
+	case c.state != Claiming:
+		return false
+	case c.x.leaving:
+		c.end(c.x.elsewhere())
+		return false
+	}
+	c.state = Held
+	c.x.post(c.request())
+	return true
+}
+
+// Unclaimed says that it is not.
+func (c *Call) Unclaimed(a Answer) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state == Claiming {
+		c.end(c.x.advised(a))
 	}
 }
 
+// advised takes the time to come again out of an answer where clients are not told any.
+func (x *Exchange) advised(a Answer) Answer {
+	if !x.site.Settings.RetryAfter {
+		a.RetryAfter = 0
+	}
+	return a
+}
+
+// Lapse says that the claim may be lost: the call is ended politely, and nothing goes out for it any more.
+func (c *Call) Lapse(after float64) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	c.lapsed = true
+	switch c.state {
+	case Held, Trying:
+		a := Answer{Kind: Refused, RetryAfter: after}
+		if c.risky() {
+			a = Answer{Kind: Failed}
+		}
+		c.x.post(decide.Gone{ID: c.ID})
+		c.end(c.x.advised(a))
+	case Claiming:
+		c.end(c.x.advised(Answer{Kind: Refused, RetryAfter: after}))
+	case Up:
+		c.move()
+	}
+}
+
+// risky tells whether to try again might do harm.
+func (c *Call) risky() bool {
+	return c.x.site.Settings.Classes[c.Class].Effect != decide.Safe && (c.mayRun || c.out && c.begun)
+}
+
 // send does what the module wants: one more attempt. What the rules forbid is never sent.
 func (x *Exchange) send(id decide.RequestID, to decide.Backend, timeout float64) {
 	x.mu.Lock()
@@ -333,13 +426,17 @@
 func (c *Call) Spoil() bool {
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
-	if c.state != Held && c.state != Trying {
+	return c.spoil("")
+}
+
+func (c *Call) spoil(note string) bool {
+	if c.state == Up || c.state == Ended {
 		return false
 	}
-	if !c.resumed {
+	if !c.resumed && c.state != Claiming { // else the module does not know it
 		c.x.post(decide.Gone{ID: c.ID})
 	}
-	c.end(Answer{Kind: Failed})
+	c.end(Answer{Kind: Failed, Note: note})
 	return true
 }
 
@@ -372,8 +469,8 @@
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
 	switch c.state {
-	case Held, Trying:
-		if !c.resumed {
+	case Held, Trying, Claiming:
+		if !c.resumed && c.state != Claiming {
 			c.x.post(decide.Gone{ID: c.ID})
 		}
 		c.end(Answer{Kind: NoAnswer})
@@ -441,6 +538,16 @@
 	}
 }
 
+// Reject gives the call its final answer from the server's side: the server will never take it, and no other
+// server would. The attempt is to be ended as usual.
+func (c *Call) Reject(no int, note string) {
+	c.x.mu.Lock()
+	defer c.x.mu.Unlock()
+	if c.state == Trying && c.attempt.No == no {
+		c.spoil(note)
+	}
+}
+
 // Draining tells whether the attempt's server has begun to drain.
 func (c *Call) Draining() bool {
 	c.x.mu.Lock()
@@ -591,7 +698,7 @@
 	defer x.mu.Unlock()
 	for _, c := range x.calls {
 		kind := Refused
-		if x.site.Settings.Classes[c.Class].Effect != decide.Safe && (c.mayRun || c.out && c.begun) {
+		if c.risky() {
 			kind = Failed
 		}
 		c.end(Answer{Kind: kind})
--- a/internal/memory/exchange_test.go
+++ b/internal/memory/exchange_test.go
@@ -42,8 +42,17 @@
 	until    float64
 	outcomes int
 	name     string
+	begun    bool
+	claim    *claimed
 }
 
+// claimed stands for what may give a call its claim.
+type claimed struct{ begun, released int }
+
+func (c *claimed) Wait() bool  { return true }
+func (c *claimed) Begin(*Call) { c.begun++ }
+func (c *claimed) Release()    { c.released++ }
+
 // over tells whether neither side has anything to do with the request any more.
 func (m *model) over() bool { return m.state == Ended && !m.out }
 
@@ -57,6 +66,10 @@
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 11, 0, 0, 3, 0, 0, 5, 0, 0, 10, 0, 9, 12, 0, 0, 13, 0, 0, 0, 2, 0})
 	f.Add([]byte{0, 0, 1, 1, 0, 0, 0, 1, 1, 14, 0, 0, 0, 2, 1, 5, 0, 0, 0, 3, 1}) // a name that stands, is spoilt, is free
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 14, 0, 0, 15, 0, 0, 5, 0, 0})
+	f.Add([]byte{0, 0, 128, 1, 0, 0, 16, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 18, 0, 0, 5, 0, 0}) // claimed, up, lapsed
+	f.Add([]byte{0, 0, 128, 6, 0, 0, 16, 0, 0, 0, 1, 128, 17, 1, 0, 0, 2, 128, 13, 0, 0, 16, 2, 0})    // left, refused, leaving
+	f.Add([]byte{0, 1, 129, 16, 1, 0, 1, 1, 0, 2, 1, 0, 3, 1, 0, 18, 1, 0, 4, 1, 0, 5, 1, 3})          // lapsed while it may run
+	f.Add([]byte{0, 0, 128, 16, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 19, 0, 0, 5, 0, 6})                   // the server's no
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		clock, wire := NewSetClock(), &side{}
 		site := &Site{Settings: decide.Settings{MaxAttempts: 3, Classes: []decide.ClassInfo{{}, {Effect: decide.Unsafe}}}}
@@ -69,7 +82,7 @@
 		calls := map[int]*model{}
 		leaving := false
 		for ; len(steps) >= 3; steps = steps[3:] {
-			op, who, arg := steps[0]%16, int(steps[1]%4), int(steps[2])
+			op, who, arg := steps[0]%20, int(steps[1]%4), int(steps[2])
 			m, now := calls[who], clock.Now()
 			if m == nil && op != 0 && op != 9 && op != 10 && op != 13 {
 				continue
@@ -83,7 +96,12 @@
 					for _, o := range calls {
 						double = double || m.name != "" && o.name == m.name && !o.over()
 					}
-					m.call = x.Open(Ask{Name: m.name, Class: decide.Class(who % 2), Left: 1000}, m.client)
+					ask := Ask{Name: m.name, Class: decide.Class(who % 2), Left: 1000}
+					if arg >= 128 {
+						m.claim, m.state = &claimed{}, Claiming
+						ask.Claim = m.claim
+					}
+					m.call = x.Open(ask, m.client)
 					if calls[who] = m; double {
 						m.state, m.answer, m.name = Ended, Failed, ""
 					} else if leaving {
@@ -98,7 +116,7 @@
 					t.Fatalf("send in %+v: tried %v", m, !allowed)
 				}
 				if allowed {
-					m.state, m.out, m.attached, m.canceled, m.to = Trying, true, false, false, arg%2
+					m.state, m.out, m.attached, m.canceled, m.begun, m.to = Trying, true, false, false, false, arg%2
 					m.sends++
 					if m.until = m.deadline; arg != 0 {
 						m.until = min(m.until, now+float64(arg))
@@ -113,6 +131,7 @@
 				if got, want := m.call.Begin(m.sends-1), live && modes[m.to] == decide.Ready && now < m.until; got != want {
 					t.Fatalf("begin in %+v: %v", m, got)
 				}
+				m.begun = m.begun || live && modes[m.to] == decide.Ready && now < m.until
 			case 4:
 				if !m.attached && live { // no side says up before it has attached
 					continue
@@ -151,7 +170,7 @@
 				} else {
 					x.finish(m.call.ID, Answer{Kind: kind})
 				}
-				if m.state == Held || m.state == Trying {
+				if m.state != Up && m.state != Ended {
 					m.state, m.answer = Ended, kind
 				}
 			case 9:
@@ -166,7 +185,7 @@
 				x.Drain()
 				leaving = true
 			case 14:
-				want := m.state == Held || m.state == Trying
+				want := m.state != Up && m.state != Ended
 				if got := m.call.Spoil(); got != want {
 					t.Fatalf("spoil in %+v: %v", m, got)
 				}
@@ -176,6 +195,33 @@
 			case 15:
 				m.call.Dismiss()
 				m.moving = m.moving || m.state == Up
+			case 16:
+				want := m.state == Claiming && !leaving
+				if got := m.call.Claimed(); got != want {
+					t.Fatalf("claimed in %+v: %v", m, got)
+				}
+				if want {
+					m.state = Held
+				} else if m.state == Claiming {
+					m.state, m.answer = Ended, Refused
+				}
+			case 17:
+				if m.call.Unclaimed(Answer{Kind: Failed}); m.state == Claiming {
+					m.state, m.answer = Ended, Failed
+				}
+			case 18:
+				m.call.Lapse(100)
+				m.moving = m.moving || m.state == Up
+				if m.state != Up && m.state != Ended {
+					if m.answer = Refused; who%2 == 1 && (m.mayRun || m.out && m.begun) {
+						m.answer = Failed
+					}
+					m.state = Ended
+				}
+			case 19:
+				if m.call.Reject(m.sends-1, "no"); m.state == Trying {
+					m.state, m.answer = Ended, Failed
+				}
 			}
 			outcomes := map[decide.RequestID]int{}
 			for _, ev := range x.inbox {
@@ -188,6 +234,12 @@
 				if state != m.state || answer.Kind != m.answer || m.call.out != m.out {
 					t.Fatalf("after step %d: request %d is %v %+v, out %v; want %+v", op, who, state, answer, m.call.out, m)
 				}
+				if c := m.claim; c != nil && (c.released == 1) != m.over() || c != nil && c.released > c.begun+1 {
+					t.Fatalf("request %d in %v: claim asked for %d times, released %d times", who, m.state, c.begun, c.released)
+				}
+				if m.state == Claiming && m.out {
+					t.Fatalf("request %d has an attempt out before its claim is won", who)
+				}
 				if moving, _ := m.call.Moving(); moving != m.moving {
 					t.Fatalf("request %d: moving %v", who, moving)
 				}
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -31,6 +31,7 @@
 	Mode    decide.Mode
 	Started float64 // Unix time in milliseconds, 0 for long ago
 	Load    float64 // load over capacity that the list itself tells, negative if it does not
+	Resumes bool    // it takes streams up where they stopped
 }
 
 // Server is one server as the server side needs it.
@@ -39,6 +40,7 @@
 	ID      string
 	Address string
 	Load    float64 // as the list told it last, negative if it does not
+	Resumes bool
 	mode    decide.Mode
 	notedAt float64 // when the module was last told of a slow message there
 	now     *Server // the roster's own, of which an attempt holds a copy
@@ -67,7 +69,7 @@
 			r.byID[l.ID] = s
 			r.servers = append(r.servers, s)
 		}
-		s.mode, s.Load = l.Mode, l.Load
+		s.mode, s.Load, s.Resumes = l.Mode, l.Load, l.Resumes
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
 		}
--- /dev/null
+++ b/internal/resume/sweep.go
@@ -0,0 +1,63 @@
+package resume
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"capersail/internal/claim"
+	"capersail/internal/memory"
+	"capersail/internal/wire/zookeeper"
+)
+
+// sweepWindow is how many records a sweep reads at once; claims wait behind them for no longer.
+const sweepWindow = 64
+
+// sweeps removes records whose last token has expired, each relay at times of its own.
+func (s *Service) sweeps(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(s.SweepEvery * (0.5 + rand.Float64())):
+			s.Sweep(ctx)
+		}
+	}
+}
+
+// Sweep looks at every record once. Removing asks for the version that was read, so a stream taken on
+// meanwhile stays, and one that is held cannot be removed, as it has a child.
+func (s *Service) Sweep(ctx context.Context) {
+	names := make(chan []string, 1)
+	s.session.Children(s.Path, func(a zookeeper.Answer) { names <- a.Children })
+	room := make(chan struct{}, sweepWindow)
+	for _, name := range <-names {
+		record := s.Path + "/" + name
+		select {
+		case <-ctx.Done():
+			return
+		case room <- struct{}{}:
+		}
+		s.session.Get(record, func(a zookeeper.Answer) {
+			r, ok := claim.ParseRecord(a.Data)
+			if a.Code != zookeeper.OK || !ok || float64(s.wall()-r.Expires) <= s.Skew {
+				<-room
+				return
+			}
+			s.session.Delete(record, a.Stat.Version, func(a zookeeper.Answer) {
+				if a.Code == zookeeper.OK {
+					s.count(&s.stats.Swept)
+				}
+				<-room
+			})
+		})
+	}
+	for range sweepWindow { // the last answers
+		select {
+		case <-ctx.Done():
+			return
+		case room <- struct{}{}:
+		case <-s.Clock.After(memory.Millis(memory.Duration(s.Session))):
+			return
+		}
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // TileServer is a server of the platform's protocol: it takes every connection and returns every line.
@@ -102,6 +104,7 @@
 // Discovery is the platform's list of servers.
 type Discovery struct {
 	Address string
+	Extra   string // more fields of each entry, as JSON with a comma before it
 
 	mu      sync.Mutex
 	version int
@@ -138,7 +141,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
-	d.list[id] = Entry(id, address, lifecycle)
+	d.list[id] = strings.TrimSuffix(Entry(id, address, lifecycle), "}") + d.Extra + "}"
 	for _, w := range d.changed {
 		w <- d.text(false, d.list[id])
 	}
@@ -159,6 +162,12 @@
 	return d.text(true, strings.Join(all, ","))
 }
 
+func (d *Discovery) forget(w chan string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changed = slices.DeleteFunc(d.changed, func(c chan string) bool { return c == w })
+}
+
 func (d *Discovery) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
@@ -175,7 +184,17 @@
 	d.changed = append(d.changed, changes)
 	d.mu.Unlock()
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(whole), whole)
-	for text := range changes {
-		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+	idle := time.NewTicker(2 * time.Second)
+	defer idle.Stop()
+	for {
+		text := "\n" // while nothing changes
+		select {
+		case text = <-changes:
+		case <-idle.C:
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			d.forget(changes)
+			return
+		}
 	}
 }
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -321,7 +321,8 @@
 
 func entry(e *fastjson.Value) (memory.Listed, error) {
 	l := memory.Listed{ID: string(e.GetStringBytes("instanceId")), Address: string(e.GetStringBytes("hostPort")),
-		Zone: string(e.GetStringBytes("zone")), Cell: int32(e.GetInt("cell")), Started: e.GetFloat64("startedAtMs")}
+		Zone: string(e.GetStringBytes("zone")), Cell: int32(e.GetInt("cell")), Started: e.GetFloat64("startedAtMs"),
+		Resumes: e.GetBool("resumes")}
 	if l.ID == "" {
 		return l, fmt.Errorf("instanceId is missing")
 	}
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -8,6 +8,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/resume"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
 )
@@ -20,6 +21,8 @@
 	X    *memory.Exchange
 	Site *memory.Site
 	Gate *gate.Gate
+	// Resume lets streams go on elsewhere; nil where that is off.
+	Resume *resume.Service
 }
 
 // Serve accepts until the listener is closed.
@@ -84,6 +87,11 @@
 // refuse answers what cannot be read.
 func (f *Front) refuse(e *link.End, line []byte, err error) {
 	f.Gate.Log.Warn().Err(err).Bytes("line", line[:min(len(line), 80)]).Msg("bad client; failed")
+	var r *refusal
+	if errors.As(err, &r) {
+		e.Pass([]byte("ERR resume " + r.note + "\r\n"))
+		return
+	}
 	e.Pass([]byte("ERR bad request\r\n"))
 }
 
@@ -92,7 +100,11 @@
 	if err != nil {
 		return memory.Ask{}, "", err
 	}
-	o, err := parseOpening(line)
+	parse := parseOpening
+	if f.Resume != nil {
+		parse = parseResuming
+	}
+	o, err := parse(line)
 	if err != nil {
 		return memory.Ask{}, "", err
 	}
@@ -108,16 +120,26 @@
 	if longest := memory.Millis(f.Site.Settings.Classes[class].Deadline); longest > 0 && o.at == "" {
 		left = min(left, longest) // no client of the class waits for longer, whatever it says
 	}
-	return memory.Ask{Name: o.id, Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: left,
-		Returned: o.returned, Payload: o}, o.at, nil
+	ask := memory.Ask{Name: o.id, Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: left,
+		Returned: o.returned, Payload: o}
+	if o.resume != "" {
+		st, err := f.stream(o)
+		if err != nil {
+			return memory.Ask{}, "", err
+		}
+		ask.Claim, ask.Returned = st, ask.Returned || st.Wait()
+	}
+	return ask, o.at, nil
 }
 
 // follow reads the client until its end. Before the call is up a wake means an answer; after that the
 // server side writes to the client, and this goroutine only passes on what the client sends.
 func (f *Front) follow(call *memory.Call, e *link.End, in *lines) {
+	st := streamOf(call)
 	for {
 		line, err := in.next()
 		switch {
+		case st != nil && err == nil && got(st, line): // the relay's own line, whenever it comes
 		case len(line) > 0 && call.Spoil():
 			f.refuse(e, line, errUnasked)
 			return
@@ -156,6 +178,8 @@
 		e.Pass(fmt.Appendf(nil, "BUSY %d\r\n", int(math.Ceil(a.RetryAfter))))
 	case a.Kind == memory.Refused:
 		e.Pass([]byte("BUSY\r\n"))
+	case a.Kind == memory.Failed && a.Note != "":
+		e.Pass([]byte("ERR resume " + a.Note + "\r\n"))
 	case a.Kind == memory.Failed:
 		e.Pass([]byte("ERR\r\n"))
 	}
--- a/internal/wire/platform/line.go
+++ b/internal/wire/platform/line.go
@@ -13,6 +13,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/resume"
 )
 
 // maxLine is the longest line the protocol knows, its end included.
@@ -86,8 +87,55 @@
 	hint, left    float64
 	returned      bool
 	at            string // the server that held the connection before the run
+	resume        string // a token, or "new"; "" if the client does not ask to go on one day
+	position      uint64
+	hasPosition   bool
 }
 
+// parseResuming reads a first line where tokens are on. Their two fields are the relay's own, and do not go on.
+func parseResuming(line []byte) (*opening, error) {
+	text := strings.TrimRight(string(line), "\r\n")
+	at := strings.LastIndexByte(text, ' ') + 1
+	var rest []string
+	var token, position string
+	for _, field := range strings.Split(text[at:], ",") {
+		switch name, value, _ := strings.Cut(field, "="); {
+		case name == "resume" && token == "" && value != "":
+			token = value
+		case name == "pos" && position == "" && value != "":
+			position = value
+		default:
+			rest = append(rest, field)
+		}
+	}
+	o, err := parseOpening([]byte(text[:at] + strings.Join(rest, ",")))
+	if err != nil || token == "" {
+		return o, err
+	}
+	if o.resume = token; o.at != "" {
+		return nil, fmt.Errorf("resume and at exclude one another")
+	}
+	if position != "" {
+		if o.position, err = strconv.ParseUint(position, 10, 64); err != nil || o.position > maxPosition {
+			return nil, &refusal{resume.NotePosition, fmt.Errorf("pos=%q is not the number of a scan", position)}
+		}
+		o.hasPosition = true
+	}
+	return o, nil
+}
+
+// maxPosition is the last scan that can be asked for: servers count in 63 bits.
+const maxPosition = 1<<63 - 2
+
+// refusal is an error of which the client is told the kind.
+type refusal struct {
+	note string
+	err  error
+}
+
+func (r *refusal) Error() string { return r.note + ": " + r.err.Error() }
+func (r *refusal) Unwrap() error { return r.err }
+
 // parseOpening reads `OPEN id key name=value,...`. Whatever is not of that form is never sent on: a server
 // would answer SYNTAX.
 func parseOpening(line []byte) (*opening, error) {
@@ -147,12 +195,12 @@
 // resumeWithin is how long a connection from before the run may take to come up.
 const resumeWithin = 40_000.0
 
-// line is the opening as it goes on to a server that is given left milliseconds.
-func (o *opening) line(left float64) []byte {
+// line is the opening as it goes on to a server that is given left milliseconds, with what more it is told.
+func (o *opening) line(left float64, more string) []byte {
 	if !strings.HasSuffix(o.before, "d=") {
-		return []byte(o.before + "\r\n")
+		return []byte(o.before + more + "\r\n")
 	}
-	return []byte(o.before + strconv.Itoa(max(1, int(left))) + o.after + "\r\n")
+	return []byte(o.before + strconv.Itoa(max(1, int(left))) + o.after + more + "\r\n")
 }
 
 // number reads the hexadecimal figures of keys and groups; any other text stands for a number too.
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -40,7 +40,7 @@
 		o, err := parseOpening([]byte(c.in + "\r\n"))
 		got := ""
 		if err == nil {
-			got = string(o.line(70))
+			got = string(o.line(70, ""))
 		}
 		if got != c.out {
 			t.Errorf("%s: %q, %v", c.name, got, err)
@@ -57,9 +57,9 @@
 		if err != nil {
 			return
 		}
-		again, err := parseOpening(o.line(70))
+		again, err := parseOpening(o.line(70, ""))
 		if err != nil || again.class != o.class || again.at != o.at || o.at == "" && again.left != 70 {
-			t.Errorf("%q goes on as %q: %v", line, o.line(70), err)
+			t.Errorf("%q goes on as %q: %v", line, o.line(70, ""), err)
 		}
 	})
 }
--- /dev/null
+++ b/internal/wire/platform/resume.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"capersail/internal/memory"
+	"capersail/internal/resume"
+	"capersail/internal/wire/link"
+)
+
+// The lines of the extension (docs/RESUME.md). All of this file is for calls that have a stream; the others
+// meet a nil once and nothing more.
+
+// streamOf is the call's stream, nil if its client did not ask for one.
+func streamOf(c *memory.Call) *resume.Stream {
+	st, _ := c.Claim.(*resume.Stream)
+	return st
+}
+
+// stream is what an opening asks for.
+func (f *Front) stream(o *opening) (*resume.Stream, error) {
+	asked := resume.Asked{Class: o.class, Tenant: o.tenant, Key: o.key, Group: o.group, Position: o.position,
+		HasPosition: o.hasPosition}
+	if o.resume == "new" {
+		return f.Resume.Fresh(asked), nil
+	}
+	st, note, err := f.Resume.Resume(o.resume, asked)
+	if err != nil {
+		return nil, &refusal{note, err}
+	}
+	return st, nil
+}
+
+// unwilling is what a server's refusal to go on means to the client.
+var unwilling = map[string]string{"STALE": resume.NoteBehind, "AHEAD": resume.NoteAhead}
+
+// tell is what a server that takes streams up is told beyond the client's line.
+func tell(c *memory.Call, a memory.Attempt) (more string, told bool) {
+	st := streamOf(c)
+	if st == nil || !a.Server.Resumes && !st.EveryServer() {
+		return "", false
+	}
+	return fmt.Sprintf(",s=%s,gen=%d,from=%d", st.ID, st.Generation(), st.From), true
+}
+
+// begin is the server's UP, with what the client is to know beyond it: a gap, and its token.
+func begin(st *resume.Stream, a memory.Attempt, up []byte) []byte {
+	out := append([]byte(nil), up...)
+	first, stated := uint64(0), false
+	for _, field := range strings.Fields(string(up)) {
+		if text, ok := strings.CutPrefix(field, "from="); ok {
+			x, err := strconv.ParseUint(text, 10, 64)
+			first, stated = x, err == nil && x > 0 && x <= maxPosition
+		}
+	}
+	switch {
+	case stated && st.From != 0 && first > st.From:
+		out = fmt.Appendf(out, "GAP %d %d\r\n", st.From, first-1)
+	case !stated && st.From != 0: // its server does not number scans, or does not go back
+		out = fmt.Appendf(out, "GAP %d -\r\n", st.From)
+	}
+	if stated {
+		st.Passed(first - 1)
+	}
+	st.Placed(a.Server.ID)
+	return append(out, tokenLine(st)...)
+}
+
+// tokenLine is the line that gives a token; empty if there is none to give, or no stream.
+func tokenLine(st *resume.Stream) []byte {
+	if st == nil {
+		return nil
+	}
+	text := st.Token()
+	if text == "" {
+		return nil
+	}
+	return fmt.Appendf(nil, "TOKEN %d %s\r\n", st.Generation(), text)
+}
+
+// passed notes a line that went to the client. It returns the stream if a token is due after it.
+func passed(st *resume.Stream, line []byte) *resume.Stream {
+	if rest, ok := bytes.CutPrefix(line, []byte("SCAN ")); ok {
+		n, digits := uint64(0), 0
+		for ; digits < len(rest) && digits < 19 && rest[digits] >= '0' && rest[digits] <= '9'; digits++ {
+			n = n*10 + uint64(rest[digits]-'0')
+		}
+		if digits > 0 && n <= maxPosition {
+			st.Passed(n)
+		}
+	}
+	if !st.Due() {
+		return nil
+	}
+	return st
+}
+
+// nextLook is when the goroutine that passes lines looks at its stream at the latest; 0 is never.
+func nextLook(st *resume.Stream) float64 {
+	if st == nil {
+		return 0
+	}
+	return st.NextDue()
+}
+
+// got takes the client's word that it has a token. It is the relay's line: no server reads it.
+func got(st *resume.Stream, line []byte) bool {
+	rest, ok := bytes.CutPrefix(line, []byte("GOT "))
+	if !ok {
+		return false
+	}
+	if n, err := strconv.ParseUint(string(bytes.TrimRight(rest, "\r\n")), 10, 64); err == nil {
+		st.Got(n)
+	}
+	return true
+}
+
+// part ends a stream at its server, and only then lets it be another relay's.
+func part(e *link.End, st *resume.Stream) {
+	if st != nil {
+		e.Close(memory.Clean)
+		e.Conn.Close()
+		st.ReleaseNow()
+	}
+}
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -10,6 +10,7 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
+	"capersail/internal/resume"
 	"capersail/internal/wire/link"
 )
 
@@ -69,7 +70,8 @@
 
 // converse sends the first line and follows the connection to its end, for PROTOCOL's table.
 func (s *Servers) converse(c *memory.Call, a memory.Attempt, e *link.End) (decide.Status, decide.Report) {
-	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now())) != nil {
+	more, told := tell(c, a)
+	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now(), more)) != nil {
 		return decide.ConnectFailed, decide.NoReport
 	}
 	in := newLines(e.Conn)
@@ -92,6 +94,12 @@
 		switch first, rest := word(line); first {
 		case "UP":
 			return s.carry(c, a, e, in, line)
+		case "STALE", "AHEAD":
+			if !told {
+				return decide.Errored, decide.NoReport
+			}
+			c.Reject(a.No, unwilling[first])
+			return decide.Cancelled, decide.NoReport
 		case "BUSY":
 			return decide.Full, report(rest, s.LoadKey)
 		case "BYE":
@@ -111,17 +119,35 @@
 	if client == nil {
 		return decide.Cancelled, decide.NoReport
 	}
-	e.Until(0)
-	status, load, within := decide.Reset, decide.NoReport, false
+	st := streamOf(c)
+	if st != nil {
+		line = begin(st, a, line)
+	}
+	status, load, within, looked := decide.Reset, decide.NoReport, false, false
 	for {
+		if !looked {
+			e.Until(nextLook(st))
+			looked = true
+		}
+		if st != nil && !st.Trusted() {
+			return s.depart(c, e, client, st, within, load)
+		}
 		if err := client.Pass(line); err != nil {
+			part(e, st)
 			client.Close(memory.Broken) // a client that takes nothing for a second has left
 			return decide.Cancelled, load
 		}
+		if st != nil && !within && passed(st, line) != nil {
+			client.Pass(tokenLine(st))
+			looked = false
+		}
 		var err error
 		if line, err = in.next(); len(line) > 0 {
 			if !within {
 				status, load = s.heard(c, line)
+				if st != nil && status == decide.Cancelled { // its server sends it away
+					return s.depart(c, e, client, st, false, load)
+				}
 			}
 			within = line[len(line)-1] != '\n' // the rest of a line over 4 KiB is no line of its own
 			continue
@@ -131,27 +157,36 @@
 			if e.Over() { // the client has left, and the server took its time to end too
 				return decide.Cancelled, load
 			}
-			if moving, silent := c.Moving(); moving {
-				if within {
-					client.Close(memory.Broken)
-					return decide.Cancelled, load
-				}
-				client.Pass([]byte("MOVE\r\n"))
-				client.Close(memory.Clean)
-				if silent {
-					return decide.Reset, load
-				}
-				return decide.Cancelled, load
+			if moving, _ := c.Moving(); moving {
+				return s.depart(c, e, client, st, within, load)
 			}
-			e.Until(0)
-			line = nil
+			line, looked = nil, false
 			continue
 		}
+		part(e, st)
 		client.Close(link.Ending(err))
 		return status, load
 	}
 }
 
+// depart sends the client away. A stream that may go on elsewhere is ended at its server and given back first:
+// the client may be at the next relay within a millisecond.
+func (s *Servers) depart(c *memory.Call, e *link.End, client memory.Client, st *resume.Stream, within bool,
+	load decide.Report) (decide.Status, decide.Report) {
+	part(e, st)
+	status := decide.Cancelled
+	if _, silent := c.Moving(); silent {
+		status = decide.Reset
+	}
+	if within {
+		client.Close(memory.Broken)
+		return decide.Cancelled, load
+	}
+	client.Pass(append(tokenLine(st), "MOVE\r\n"...))
+	client.Close(memory.Clean)
+	return status, load
+}
+
 // heard looks at a line on its way to the client. It returns what the connection's end would mean now.
 func (s *Servers) heard(c *memory.Call, line []byte) (decide.Status, decide.Report) {
 	switch first, rest := word(line); first {
--- /dev/null
+++ b/internal/wire/zookeeper/session.go
@@ -0,0 +1,463 @@
+package zookeeper
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"capersail/internal/memory"
+	"capersail/internal/wire/link"
+)
+
+const (
+	// pingPart of a session's time-out is how long it may go without a request. A claim is trusted by what was
+	// answered last, so pings come more often than a session needs to live.
+	pingPart = 1.0 / 6
+	// silentPart of it is how long a service may be silent before another address is tried.
+	silentPart = 1.0 / 2
+	// batchBytes of requests are written at once at most.
+	batchBytes = 64 << 10
+	firstPause = 50.0 // before the next address is tried, doubling, each with jitter
+	mostPause  = 1000.0
+)
+
+// Code is how a request ended: 0, an error of the service's (negative), or Lost.
+type Code int32
+
+// The codes that callers tell apart.
+const (
+	OK         Code = 0
+	NoNode     Code = errNoNode
+	BadVersion Code = errBadVersion
+	NodeExists Code = errNodeExists
+	NotEmpty   Code = errNotEmpty
+	Lost       Code = 1 // no answer came: it may have been done, or may not
+)
+
+// Stat is what of a node's state is used here.
+type Stat struct {
+	Version  int32
+	Owner    int64 // the session of an ephemeral node, 0 of others
+	Children int32
+}
+
+// Answer is the answer to one request.
+type Answer struct {
+	Code     Code
+	Stat     Stat
+	Data     []byte
+	Children []string
+}
+
+// Events is told what happens to a session, in order and from one goroutine, as answers are.
+type Events interface {
+	// Connected: a session stands, a new one or one taken up again, by a request sent at sentAt.
+	Connected(session int64, granted, sentAt float64)
+	// Disconnected: every request without an answer has been answered Lost.
+	Disconnected()
+	// Expired: the service has forgotten the session.
+	Expired()
+	// Answered: something sent at sentAt was answered.
+	Answered(sentAt float64)
+}
+
+// Session keeps one session with a service, over connections to any of its addresses. Requests are pipelined:
+// they are written together, without waiting for one another's answers, and answered in their order.
+type Session struct {
+	Timeout float64 // wanted, in milliseconds
+	Clock   *memory.Clock
+	Log     zerolog.Logger
+	Events  Events
+
+	mu        sync.Mutex
+	addresses []string
+	next      int
+	hangUp    context.CancelFunc
+	open      bool // requests are taken
+	unsent    []request
+	pending   []request
+	pings     []float64 // when those without an answer were sent
+	kick      chan struct{}
+	xid       int32
+	closing   bool
+
+	hello hello // of Run alone
+}
+
+// request is one request, encoded but for its xid.
+type request struct {
+	op     int32
+	body   record
+	xid    int32
+	sentAt float64
+	done   func(Answer)
+}
+
+// NewSession returns a session that Run begins.
+func NewSession(addresses []string, timeout float64, clock *memory.Clock, events Events, log zerolog.Logger) *Session {
+	return &Session{Timeout: timeout, Clock: clock, Log: log, Events: events, addresses: addresses,
+		next: rand.IntN(max(1, len(addresses))), kick: make(chan struct{}, 1)}
+}
+
+// Move follows another list of addresses. The connection that is open is ended; the session goes on if the
+// addresses are the same service's.
+func (s *Session) Move(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses = addresses
+	if s.hangUp != nil {
+		s.hangUp()
+	}
+}
+
+// do queues a request; done is called once. It never blocks.
+func (s *Session) do(op int32, body record, done func(Answer)) {
+	s.mu.Lock()
+	if !s.open || s.closing && op != opClose {
+		s.mu.Unlock()
+		go done(Answer{Code: Lost})
+		return
+	}
+	s.unsent = append(s.unsent, request{op: op, body: body, done: done})
+	s.mu.Unlock()
+	s.poke()
+}
+
+func (s *Session) poke() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Get reads a node's data.
+func (s *Session) Get(path string, done func(Answer)) {
+	s.do(opGetData, record{}.bytes([]byte(path)).flag(false), done)
+}
+
+// Exists reads a node's state.
+func (s *Session) Exists(path string, done func(Answer)) {
+	s.do(opExists, record{}.bytes([]byte(path)).flag(false), done)
+}
+
+// Sync makes what is read after it no older than the moment at which the service takes it.
+func (s *Session) Sync(path string, done func(Answer)) {
+	s.do(opSync, record{}.bytes([]byte(path)), done)
+}
+
+// Children lists a node's children.
+func (s *Session) Children(path string, done func(Answer)) {
+	s.do(opGetChildren, record{}.bytes([]byte(path)).flag(false), done)
+}
+
+// Create makes a node: exclusively, as every create is. An ephemeral one goes with the session.
+func (s *Session) Create(path string, data []byte, ephemeral bool, done func(Answer)) {
+	s.do(opCreate, create(path, data, ephemeral), done)
+}
+
+// Set writes a node's data if it has the version; -1 is any.
+func (s *Session) Set(path string, data []byte, version int32, done func(Answer)) {
+	s.do(opSetData, set(path, data, version), done)
+}
+
+// Delete removes a node if it has the version; -1 is any.
+func (s *Session) Delete(path string, version int32, done func(Answer)) {
+	s.do(opDelete, record{}.bytes([]byte(path)).i32(version), done)
+}
+
+// Step is one part of a transaction.
+type Step struct {
+	op   int32
+	body record
+}
+
+// CreateStep is Create in a transaction.
+func CreateStep(path string, data []byte, ephemeral bool) Step {
+	return Step{opCreate, create(path, data, ephemeral)}
+}
+
+// SetStep is Set in a transaction.
+func SetStep(path string, data []byte, version int32) Step {
+	return Step{opSetData, set(path, data, version)}
+}
+
+// CheckStep fails a transaction unless the node has the version.
+func CheckStep(path string, version int32) Step {
+	return Step{opCheck, record{}.bytes([]byte(path)).i32(version)}
+}
+
+// Multi does all steps or none. The answer's code is that of the first step that cannot be done, its Stat
+// that of the last SetStep.
+func (s *Session) Multi(steps []Step, done func(Answer)) {
+	body := record{}
+	for _, step := range steps {
+		body = append(body.i32(step.op).flag(false).i32(-1), step.body...)
+	}
+	s.do(opMulti, body.i32(-1).flag(true).i32(-1), done)
+}
+
+func create(path string, data []byte, ephemeral bool) record {
+	b := record{}.bytes([]byte(path)).bytes(data).i32(1).i32(31).bytes([]byte("world")).bytes([]byte("anyone"))
+	if ephemeral {
+		return b.i32(1)
+	}
+	return b.i32(0)
+}
+
+func set(path string, data []byte, version int32) record {
+	return record{}.bytes([]byte(path)).bytes(data).i32(version)
+}
+
+// Close ends the session at the service, and with it its ephemeral nodes, and waits for that no longer than
+// within. Without it they stay until the session's time-out.
+func (s *Session) Close(within float64) {
+	done := make(chan struct{})
+	s.do(opClose, nil, func(Answer) { close(done) })
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	select {
+	case <-done:
+	case <-s.Clock.After(within):
+	}
+}
+
+// Run keeps the session until the context ends.
+func (s *Session) Run(ctx context.Context) {
+	for pause := firstPause; ctx.Err() == nil; {
+		began := s.Clock.Now()
+		err := s.connection(ctx)
+		s.lose()
+		if errors.Is(err, errExpired) {
+			s.hello = hello{}
+			s.Events.Expired()
+		}
+		s.mu.Lock()
+		closing := s.closing
+		s.mu.Unlock()
+		if ctx.Err() != nil || closing {
+			return
+		}
+		s.Log.Warn().Err(err).Msg("claim service: connection ended")
+		if s.Clock.Now()-began > mostPause || errors.Is(err, errExpired) {
+			pause = firstPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(pause * (0.5 + rand.Float64())):
+		}
+		pause = min(2*pause, mostPause)
+	}
+}
+
+// lose answers everything that has none.
+func (s *Session) lose() {
+	s.mu.Lock()
+	was := s.open
+	lost := append(s.pending, s.unsent...)
+	s.open, s.pending, s.unsent, s.pings = false, nil, nil, nil
+	s.mu.Unlock()
+	for _, r := range lost {
+		r.done(Answer{Code: Lost})
+	}
+	if was {
+		s.Events.Disconnected()
+	}
+}
+
+// connection holds one connection to its end.
+func (s *Session) connection(ctx context.Context) error {
+	s.mu.Lock()
+	ctx, s.hangUp = context.WithCancel(ctx)
+	defer s.hangUp()
+	if len(s.addresses) == 0 {
+		s.mu.Unlock()
+		return errors.New("no address")
+	}
+	address := s.addresses[s.next%len(s.addresses)]
+	s.next++
+	s.mu.Unlock()
+	raw, err := link.Dial(ctx, address, s.Timeout/6)
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	defer raw.Close()
+	context.AfterFunc(ctx, func() { raw.Close() })
+	n := &conn{Conn: raw, r: bufio.NewReaderSize(raw, batchBytes), clock: s.Clock}
+	wanted := s.hello
+	wanted.timeout = s.Timeout
+	sentAt := s.Clock.Now()
+	h, err := n.shake(wanted)
+	if err != nil {
+		return err
+	}
+	s.hello = h
+	s.mu.Lock()
+	s.open, s.xid = true, 0
+	s.mu.Unlock()
+	s.Events.Connected(h.id, h.timeout, sentAt)
+	written := make(chan error, 1)
+	go func() { written <- s.write(ctx, n, h.timeout*pingPart) }()
+	err = s.read(n)
+	s.mu.Lock()
+	s.hangUp()
+	s.mu.Unlock()
+	raw.Close()
+	if werr := <-written; werr != nil && ctx.Err() == nil {
+		err = werr
+	}
+	return err
+}
+
+// write sends what is queued, all of it together, and a ping when nothing was sent for a while.
+func (s *Session) write(ctx context.Context, n *conn, pingEvery float64) error {
+	last := s.Clock.Now()
+	for {
+		s.mu.Lock()
+		now, out, sent := s.Clock.Now(), record{}, 0
+		for ; sent < len(s.unsent) && len(out) < batchBytes; sent++ {
+			r := s.unsent[sent]
+			s.xid++
+			r.xid, r.sentAt = s.xid, now
+			out = append(out.i32(int32(len(r.body)+8)).i32(r.xid).i32(r.op), r.body...)
+			s.pending = append(s.pending, r)
+		}
+		s.unsent = s.unsent[sent:]
+		more := len(s.unsent) > 0
+		if len(out) == 0 && now-last >= pingEvery {
+			out = out.i32(8).i32(xidPing).i32(opPing)
+			s.pings = append(s.pings, now)
+		}
+		s.mu.Unlock()
+		if len(out) > 0 {
+			last = now
+			n.SetWriteDeadline(s.Clock.Wall(now + s.Timeout/3))
+			if _, err := n.Write(out); err != nil {
+				n.Close()
+				return fmt.Errorf("write: %w", err)
+			}
+		}
+		if more {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.kick:
+		case <-s.Clock.After(max(1, last+pingEvery-s.Clock.Now())):
+		}
+	}
+}
+
+// read takes answers and events until the connection ends.
+func (s *Session) read(n *conn) error {
+	for {
+		p, err := n.frame(s.Clock.Now() + s.hello.timeout*silentPart)
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		r := &reader{p: p}
+		xid, zxid, code := r.i32(), r.i64(), Code(r.i32())
+		if zxid > 0 {
+			s.hello.zxid = zxid
+		}
+		switch {
+		case r.bad:
+			return errors.New("answer cut off")
+		case xid == xidEvent:
+			if r.i32(); r.i32() == stateExpired {
+				return errExpired
+			}
+			continue
+		case xid == xidPing:
+			s.mu.Lock()
+			if len(s.pings) == 0 {
+				s.mu.Unlock()
+				return errors.New("answer to a ping that was not sent")
+			}
+			at := s.pings[0]
+			s.pings = s.pings[1:]
+			s.mu.Unlock()
+			s.Events.Answered(at)
+			continue
+		}
+		s.mu.Lock()
+		if len(s.pending) == 0 || s.pending[0].xid != xid {
+			s.mu.Unlock()
+			return fmt.Errorf("answer to request %d out of turn", xid)
+		}
+		q := s.pending[0]
+		s.pending[0] = request{}
+		s.pending = s.pending[1:]
+		s.mu.Unlock()
+		s.Events.Answered(q.sentAt)
+		a := answer(q.op, code, r)
+		if r.bad {
+			q.done(Answer{Code: Lost})
+			return fmt.Errorf("answer to request %d cut off", xid)
+		}
+		q.done(a)
+		if q.op == opClose {
+			return errors.New("session closed")
+		}
+	}
+}
+
+// answer reads what comes after an answer's header.
+func answer(op int32, code Code, r *reader) Answer {
+	a := Answer{Code: code}
+	if code != OK {
+		return a
+	}
+	switch op {
+	case opGetData:
+		a.Data = append([]byte(nil), r.bytes()...)
+		a.Stat = stat(r)
+	case opExists, opSetData:
+		a.Stat = stat(r)
+	case opGetChildren:
+		for i := r.i32(); i > 0 && !r.bad; i-- {
+			a.Children = append(a.Children, string(r.bytes()))
+		}
+	case opMulti:
+		a = multi(r)
+	}
+	return a
+}
+
+// multi reads the results of a transaction. Of one that failed all results are errors: 0 before the step that
+// cannot be done, its code, and errUndone after it.
+func multi(r *reader) (a Answer) {
+	for {
+		kind, last := r.i32(), r.take(1)[0] == 1
+		r.i32()
+		switch {
+		case r.bad || last:
+			return a
+		case kind == -1:
+			if code := Code(r.i32()); code != OK && code != errUndone && a.Code == OK {
+				a.Code = code
+			}
+		case kind == opCreate:
+			r.bytes()
+		case kind == opSetData:
+			a.Stat = stat(r)
+		}
+	}
+}
+
+func stat(r *reader) (s Stat) {
+	r.take(32)
+	s.Version = r.i32()
+	r.take(8)
+	s.Owner = r.i64()
+	r.i32()
+	s.Children = r.i32()
+	r.take(8)
+	return s
+}
--- a/internal/wire/zookeeper/zookeeper.go
+++ b/internal/wire/zookeeper/zookeeper.go
@@ -5,10 +5,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strings"
@@ -24,12 +22,25 @@
 
 // The figures of ZooKeeper's client protocol that are used here.
 const (
+	opCreate      = 1
+	opDelete      = 2
+	opExists      = 3
 	opGetData     = 4
+	opSetData     = 5
 	opGetChildren = 8
+	opSync        = 9
 	opPing        = 11
+	opCheck       = 13
+	opMulti       = 14
+	opClose       = -11
 	xidEvent      = -1
 	xidPing       = -2
 	errNoNode     = -101
+	errBadVersion = -103
+	errNodeExists = -110
+	errNotEmpty   = -111
+	errUndone     = -2 // of what a transaction did not come to
+	stateExpired  = -112
 
 	maxFrame = 4 << 20
 )
@@ -151,7 +162,7 @@
 	}
 }
 
-// conn is one connection of the session.
+// conn is one connection of the session, and what the list has asked for on it.
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
@@ -163,69 +174,6 @@
 	first bool             // the whole list has not been told yet
 }
 
-// record writes fields one after the other; reader takes them apart.
-type record []byte
-
-func (b record) i32(x int32) record { return binary.BigEndian.AppendUint32(b, uint32(x)) }
-func (b record) i64(x int64) record { return binary.BigEndian.AppendUint64(b, uint64(x)) }
-func (b record) bytes(p []byte) record {
-	return append(b.i32(int32(len(p))), p...)
-}
-func (b record) flag(x bool) record {
-	if x {
-		return append(b, 1)
-	}
-	return append(b, 0)
-}
-
-// reader reads fields; the first that is cut off spoils the rest.
-type reader struct {
-	p   []byte
-	bad bool
-}
-
-func (r *reader) take(n int) []byte {
-	if n < 0 || n > len(r.p) {
-		r.bad, r.p = true, nil
-		return make([]byte, 8)
-	}
-	p := r.p[:n]
-	r.p = r.p[n:]
-	return p
-}
-func (r *reader) i32() int32 { return int32(binary.BigEndian.Uint32(r.take(4))) }
-func (r *reader) i64() int64 { return int64(binary.BigEndian.Uint64(r.take(8))) }
-func (r *reader) bytes() []byte {
-	n := r.i32()
-	if n == -1 || r.bad { // null
-		return nil
-	}
-	return r.take(int(n))
-}
-
-func (n *conn) send(b record, within float64) error {
-	n.SetWriteDeadline(n.clock.Wall(n.clock.Now() + within))
-	_, err := n.Write(append(record{}.i32(int32(len(b))), b...))
-	return err
-}
-
-// frame reads one frame. A read that a deadline cuts short before its first byte loses nothing.
-func (n *conn) frame(until float64) ([]byte, error) {
-	n.SetReadDeadline(n.clock.Wall(until))
-	if _, err := n.r.Peek(4); err != nil {
-		return nil, err
-	}
-	head, _ := n.r.Peek(4)
-	size := int32(binary.BigEndian.Uint32(head))
-	if size < 0 || size > maxFrame {
-		return nil, fmt.Errorf("frame of %d bytes", size)
-	}
-	n.r.Discard(4)
-	p := make([]byte, size)
-	_, err := io.ReadFull(n.r, p)
-	return p, err
-}
-
 // ask sends a request for a path with its watch and returns the xid.
 func (n *conn) ask(op int32, path string, within float64) (int32, error) {
 	n.xid++
@@ -242,28 +190,12 @@
 	}
 	context.AfterFunc(ctx, func() { raw.Close() })
 	n := &conn{Conn: raw, r: bufio.NewReader(raw), clock: c.X.Clock, paths: map[int32]string{}, first: true}
-	secret := c.secret
-	if secret == nil {
-		secret = make([]byte, 16)
-	}
-	err = n.send(record{}.i32(0).i64(c.zxid).i32(int32(c.Session)).i64(c.id).bytes(secret).flag(false), c.Session/3)
+	h, err := n.shake(hello{id: c.id, secret: c.secret, zxid: c.zxid, timeout: c.Session})
 	if err != nil {
 		raw.Close()
-		return nil, fmt.Errorf("connect request: %w", err)
-	}
-	p, err := n.frame(n.clock.Now() + c.Session/3)
-	if err != nil {
-		raw.Close()
-		return nil, fmt.Errorf("connect response: %w", err)
-	}
-	r := &reader{p: p}
-	r.i32()
-	granted, id, pass := r.i32(), r.i64(), r.bytes()
-	if r.bad || granted <= 0 || id == 0 {
-		raw.Close()
-		return nil, errExpired
+		return nil, err
 	}
-	c.granted, c.id, c.secret = float64(granted), id, append([]byte(nil), pass...)
+	c.granted, c.id, c.secret = h.timeout, h.id, h.secret
 	return n, nil
 }
 
@@ -307,7 +239,7 @@
 	case xid == xidPing:
 	case xid == xidEvent:
 		kind, state, path := r.i32(), r.i32(), string(r.bytes())
-		if state == -112 {
+		if state == stateExpired {
 			return errExpired
 		}
 		return c.event(n, kind, path)
