Hard cases of moving with a token, and leases for servers

Change: a server that knows the extension is told a lease with the first line and with KEEP, at most until the relay's trust in its claim ends, and ends the stream by itself without it. Tests with relays as processes: killed with -9, stopped past its session, claim service gone before, during and after, frozen, its answer swallowed, its sessions expired, servers killed, silent and draining in mid-resume, every kind of bad token and position, keys rotated, bad files.

Found by the tests: a token of generation 0 passed for a new stream inside and skipped all checks; it is refused now.

--- a/internal/resume/stream.go
+++ b/internal/resume/stream.go
@@ -53,6 +53,8 @@
 	givenAt  float64
 	givenPos uint64
 	givenGen uint64
+	leased   bool // its server is told how long it may serve without hearing of us
+	keptAt   float64
 
 	mu      sync.Mutex
 	call    *memory.Call
@@ -78,6 +80,9 @@
 	if err != nil {
 		return nil, NoteToken, err
 	}
+	if t.Generation == 0 { // inside it stands for a new stream, which nothing is checked for
+		return nil, NoteToken, errors.New("of generation 0")
+	}
 	if err := t.Check(a.Class, a.Tenant, a.Key, a.Group, s.wall(), int64(s.Skew)); err != nil {
 		if errors.Is(err, token.ErrExpired) {
 			return nil, NoteExpired, err
@@ -225,12 +230,42 @@
 	return st.givenGen != gen || age >= st.s.Renew && st.givenPos != st.position.Load() || age >= st.s.TokenLife/2
 }
 
-// NextDue is when Due is to be asked again at the latest.
+// NextDue is when Due and Lease are to be asked again at the latest.
 func (st *Stream) NextDue() float64 {
-	if st.givenGen == 0 {
-		return st.s.Clock.Now() + st.s.Renew
+	now := st.s.Clock.Now()
+	next := now + st.s.Renew
+	if st.givenGen != 0 {
+		next = max(now+1, st.givenAt+min(st.s.Renew, st.s.TokenLife/2))
+	}
+	if st.leased && st.gen.Load() != 0 {
+		next = min(next, st.keptAt+st.s.Session*leasePart)
+	}
+	return next
+}
+
+// leasePart of a session is how often a server hears that it may go on.
+const leasePart = 1.0 / 8
+
+// Attempt begins an attempt at a server, which is told leases or not. It returns the first lease, 0 for none: a
+// new stream has no token out that another relay could be shown.
+func (st *Stream) Attempt(leased bool) float64 {
+	st.leased, st.keptAt = leased, 0
+	if st.token == 0 {
+		return 0
+	}
+	return st.Lease()
+}
+
+// Lease is for how long the server may serve on without hearing of us, in ms; 0 if it need not be told now.
+// Without it a relay that is stopped would leave its server serving while the next relay's does too. What the
+// lease is on its way to the server is part of claim.Grace.
+func (st *Stream) Lease() float64 {
+	now := st.s.Clock.Now()
+	if !st.leased || st.gen.Load() == 0 || now-st.keptAt < st.s.Session*leasePart {
+		return 0
 	}
-	return st.givenAt + min(st.s.Renew, st.s.TokenLife/2)
+	st.keptAt = now
+	return max(1, st.s.Until()-now)
 }
 
 // Token seals a token for now; "" if there is none to give.
--- a/internal/standin/scans.go
+++ b/internal/standin/scans.go
@@ -75,6 +75,9 @@
 func (l *Ledger) begin(stream, server string, gen uint64, conn *net.TCPConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !established(conn) { // given up while the server was silent or dead: it serves nobody
+		return
+	}
 	if o := l.serving[stream]; o != nil && established(o.conn) {
 		l.bad = append(l.bad, fmt.Sprintf("stream %s: %s begins generation %d while %s serves %d", stream, server, gen, o.server, o.gen))
 	}
@@ -139,6 +142,7 @@
 	fences map[string]uint64
 	silent bool
 	busy   bool
+	killed bool
 	thaw   *sync.Cond
 	opened int // first lines, but for probes
 }
@@ -176,7 +180,7 @@
 		c.SetLinger(0)
 		c.Close()
 	}
-	s.silent = false
+	s.silent, s.killed = false, true
 	s.thaw.Broadcast()
 }
 
@@ -222,6 +226,13 @@
 	return s.opened
 }
 
+// dead tells whether the server was killed.
+func (s *ScanServer) dead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.killed
+}
+
 // still waits while the server is silent.
 func (s *ScanServer) still() {
 	s.mu.Lock()
@@ -263,8 +274,12 @@
 	if s.First != nil {
 		s.First(text)
 	}
+	s.still()
+	if s.dead() {
+		return
+	}
 	parts := strings.Split(text, " ")
-	stream, gen, from := "", uint64(0), uint64(0)
+	stream, gen, from, lease := "", uint64(0), uint64(0), uint64(0)
 	for _, field := range strings.Split(parts[len(parts)-1], ",") {
 		switch name, value, _ := strings.Cut(field, "="); name {
 		case "s":
@@ -273,6 +288,8 @@
 			gen, _ = strconv.ParseUint(value, 10, 64)
 		case "from":
 			from, _ = strconv.ParseUint(value, 10, 64)
+		case "lease":
+			lease, _ = strconv.ParseUint(value, 10, 64)
 		}
 	}
 	newest := s.Feed.Newest()
@@ -310,6 +327,15 @@
 		fmt.Fprintf(c, "UP %s from=%d\r\n", parts[1], from)
 	}
 	over := make(chan struct{})
+	// Whoever is told a lease ends the stream by itself when it is not renewed in time: its relay may be stopped.
+	end := time.AfterFunc(time.Hour, func() {
+		s.Ledger.end(stream, c)
+		c.Close()
+	})
+	defer end.Stop()
+	if lease > 0 {
+		end.Reset(time.Duration(lease) * time.Millisecond)
+	}
 	var out sync.Mutex
 	go func() { // lines from the client come back
 		defer close(over)
@@ -320,6 +346,11 @@
 			if err != nil {
 				return
 			}
+			if text, ok := strings.CutPrefix(strings.TrimSpace(line), "KEEP "); ok && stream != "" {
+				ms, _ := strconv.Atoi(text)
+				end.Reset(time.Duration(ms) * time.Millisecond)
+				continue
+			}
 			out.Lock()
 			_, err = fmt.Fprint(c, line)
 			out.Unlock()
--- a/internal/wire/platform/resume.go
+++ b/internal/wire/platform/resume.go
@@ -40,14 +40,34 @@
 // tell is what a server that takes streams up is told beyond the client's line.
 func tell(c *memory.Call, a memory.Attempt) (more string, told bool) {
 	st := streamOf(c)
-	if st == nil || !a.Server.Resumes && !st.EveryServer() {
+	if st == nil {
+		return "", false
+	}
+	told = a.Server.Resumes || st.EveryServer()
+	lease := st.Attempt(told)
+	if !told {
 		return "", false
 	}
-	return fmt.Sprintf(",s=%s,gen=%d,from=%d", st.ID, st.Generation(), st.From), true
+	more = fmt.Sprintf(",s=%s,gen=%d,from=%d", st.ID, st.Generation(), st.From)
+	if lease > 0 {
+		more += fmt.Sprintf(",lease=%d", int(lease))
+	}
+	return more, true
+}
+
+// keep tells the server how long it may serve on, if that is due. It comes before a stream's first token: from
+// then on another relay may be shown one.
+func keep(e *link.End, st *resume.Stream) {
+	if st == nil {
+		return
+	}
+	if ms := st.Lease(); ms > 0 {
+		e.Pass(fmt.Appendf(nil, "KEEP %d\r\n", int(ms))) // if that fails, the reader meets the same break
+	}
 }
 
 // begin is the server's UP, with what the client is to know beyond it: a gap, and its token.
-func begin(st *resume.Stream, a memory.Attempt, up []byte) []byte {
+func begin(e *link.End, st *resume.Stream, a memory.Attempt, up []byte) []byte {
 	out := append([]byte(nil), up...)
 	first, stated := uint64(0), false
 	for _, field := range strings.Fields(string(up)) {
@@ -66,6 +86,7 @@
 		st.Passed(first - 1)
 	}
 	st.Placed(a.Server.ID)
+	keep(e, st)
 	return append(out, tokenLine(st)...)
 }
 
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -121,11 +121,12 @@
 	}
 	st := streamOf(c)
 	if st != nil {
-		line = begin(st, a, line)
+		line = begin(e, st, a, line)
 	}
 	status, load, within, looked := decide.Reset, decide.NoReport, false, false
 	for {
 		if !looked {
+			keep(e, st)
 			e.Until(nextLook(st))
 			looked = true
 		}
@@ -138,6 +139,7 @@
 			return decide.Cancelled, load
 		}
 		if st != nil && !within && passed(st, line) != nil {
+			keep(e, st)
 			client.Pass(tokenLine(st))
 			looked = false
 		}
