Measure claims, lines and mass resumption

Need: the figures that the issue asks for, and a cost of the Keeper that grew with the streams it holds: each look went over all of them.

--- /dev/null
+++ b/cmd/capersail/resume_bench_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"capersail/internal/standin"
+)
+
+// Long measurements, kept out of CI: go test ./cmd/capersail -run '^$' -bench 'Gap|Mass' -benchtime 1x
+
+func quantile(all []time.Duration, q float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return float64(all[min(len(all)-1, int(q*float64(len(all))))].Microseconds()) / 1000
+}
+
+// BenchmarkGap measures the gap on the screen, from the last scan before an end to the first after it, and the scans
+// lost, for viewers with and without a token side by side: servers drain in turn, one is killed, a relay leaves
+// and another is killed.
+func BenchmarkGap(b *testing.B) {
+	for b.Loop() {
+		f := newFleet(b, 6, "")
+		var relays []string
+		for i := range 3 {
+			relays = append(relays, f.start(i, 3))
+		}
+		f.wait("claim service", f.claims)
+		ctx, stop := context.WithCancel(b.Context())
+		var all sync.WaitGroup
+		var viewers []*standin.Viewer
+		for i := range 200 {
+			v := &standin.Viewer{Name: fmt.Sprint("v", i), Fields: fmt.Sprintf("%x c=map-stream,t=acme", i+1), Wait: 3 * time.Second,
+				Token: i%2 == 0, Say: 500 * time.Millisecond, Relay: f.any}
+			viewers = append(viewers, v)
+			all.Go(func() { v.Run(ctx) })
+		}
+		current := func() {
+			newest := f.feed.Newest() + 3 // what nobody can have yet
+			for _, v := range viewers {
+				f.wait("served", func() bool { return v.Tally().Last >= newest && (!v.Token || v.Held() != "") })
+			}
+		}
+		collect := func(what string) {
+			current()
+			for _, with := range []bool{true, false} {
+				var gaps []time.Duration
+				lost := uint64(0)
+				for _, v := range viewers {
+					if k := v.Tally(); v.Token == with {
+						gaps, lost = append(gaps, k.Gaps...), lost+k.Lost
+					}
+				}
+				fmt.Printf("%-28s token %-5v  ends %4d  gap p50 %7.1f ms  p99 %8.1f ms  scans lost so far %d\n", what, with, len(gaps),
+					quantile(gaps, 0.5), quantile(gaps, 0.99), lost)
+			}
+			for _, v := range viewers {
+				v.Forget()
+			}
+		}
+		current()
+		for _, s := range f.servers {
+			f.list.Set(s.ID, s.Address, "Terminating")
+			s.Refuse(true)
+			f.wait("drained", func() bool { return s.SendAway(3) == 0 })
+			s.Refuse(false)
+			f.list.Set(s.ID, s.Address, "Ready")
+		}
+		collect("all servers drained in turn")
+		f.servers[0].Kill()
+		f.list.Set("s0", f.servers[0].Address, "Gone")
+		collect("a server killed")
+		f.gone(relays[1])
+		f.cmds[relays[1]].Process.Signal(syscall.SIGTERM)
+		f.cmds[relays[1]].Wait()
+		collect("a relay left")
+		f.gone(relays[2])
+		f.cmds[relays[2]].Process.Kill()
+		collect("a relay killed")
+		stop()
+		all.Wait()
+		for _, bad := range f.ledger.Bad() {
+			b.Error(bad)
+		}
+	}
+}
+
+// BenchmarkMassResume kills a relay with 2,000 streams, at the moment at which half of the servers are replaced by
+// cold successors: how long until all are served by the other relay, and how far cold servers are strained.
+func BenchmarkMassResume(b *testing.B) {
+	const streams = 2000
+	for b.Loop() {
+		f := newFleet(b, 8, "claim_ms = 2000\n")
+		f.config = func(c map[string]any) { c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 16384} }
+		for _, s := range f.servers {
+			s.Capacity, s.StartPart, s.Warm = 700, 0.36, 8600*time.Millisecond
+		}
+		a, other := f.start(0, 2), f.start(1, 2)
+		f.wait("claim service", f.claims)
+		f.gone(other)
+		ctx, stop := context.WithCancel(b.Context())
+		var all sync.WaitGroup
+		var viewers []*standin.Viewer
+		for i := range streams {
+			v := &standin.Viewer{Name: fmt.Sprint("v", i), Fields: fmt.Sprintf("%x c=map-stream,t=acme", i+1), Wait: 3 * time.Second,
+				Token: true, Say: 2 * time.Second, Relay: f.any}
+			viewers = append(viewers, v)
+			all.Go(func() { v.Run(ctx) })
+			time.Sleep(2 * time.Millisecond)
+		}
+		served := func() (n int) {
+			for _, v := range viewers {
+				if k := v.Tally(); k.Last > 0 && v.Held() != "" {
+					n++
+				}
+			}
+			return n
+		}
+		f.wait("all are served", func() bool { return served() == streams })
+		for _, s := range f.servers[:4] { // replaced: the streams move, the successors are cold
+			s.Kill()
+			f.list.Set(s.ID, s.Address, "Gone")
+		}
+		var cold []*standin.ScanServer
+		for i := range 4 {
+			s, err := standin.NewScanServer(fmt.Sprint("c", i), "127.0.0.1:0", f.feed, f.ledger)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(s.Kill)
+			s.Capacity, s.StartPart, s.Warm, s.Started = 700, 0.36, 8600*time.Millisecond, time.Now()
+			f.list.Start(s.ID, s.Address, "Ready", s.Started)
+			cold = append(cold, s)
+		}
+		f.mu.Lock()
+		f.alive = []string{other}
+		f.mu.Unlock()
+		f.cmds[a].Process.Kill()
+		killed, at := time.Now(), f.feed.Newest()
+		back := func(part float64) float64 {
+			f.wait("served again", func() bool {
+				n := 0
+				for _, v := range viewers {
+					if v.Tally().Last > at+2 {
+						n++
+					}
+				}
+				return float64(n) >= part*streams
+			})
+			return time.Since(killed).Seconds()
+		}
+		half, most, whole := back(0.5), back(0.99), back(1)
+		peak, over, busy, lost := 0.0, time.Duration(0), 0, uint64(0)
+		for _, s := range cold {
+			p, o := s.Strain()
+			peak, over = max(peak, p), max(over, o)
+		}
+		for _, v := range viewers {
+			k := v.Tally()
+			busy, lost = busy+k.Busy, lost+k.Lost
+		}
+		fmt.Printf("%d tokens after a relay's death, session 4 s: half served after %.1f s, 99 %% after %.1f s, all after %.1f s; "+
+			"told to come again %.1f times each; scans lost %d; cold servers' peak load %.2f (falls at %.0f for 1.5 s), longest over it %v\n",
+			streams, half, most, whole, float64(busy)/streams, lost, peak, standin.FallMultiple, over)
+		stop()
+		all.Wait()
+		for _, bad := range f.ledger.Bad() {
+			b.Error(bad)
+		}
+		b.ReportMetric(whole, "s/all")
+		b.ReportMetric(peak, "peak")
+	}
+}
--- a/cmd/capersail/resume_test.go
+++ b/cmd/capersail/resume_test.go
@@ -193,12 +193,11 @@
 		viewers = append(viewers, v)
 		all.Go(func() { v.Run(ctx) })
 	}
-	current := func() bool { // every stream has come to what is newest now
-		newest := f.feed.Newest()
+	current := func() { // every stream has come past what is newest now
+		newest := f.feed.Newest() + 3 // what nobody can have yet
 		for _, v := range viewers {
 			f.wait("every stream is served", func() bool { return v.Tally().Last >= newest && v.Held() != "" })
 		}
-		return true
 	}
 	current()
 	for _, s := range f.servers { // one after the other drains and comes back
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -199,6 +199,7 @@
 	streams map[token.StreamID]*entry
 	handles map[uint64]*entry
 	asks    map[uint64]*entry
+	open    map[uint64]*entry // the callers whose patience can end
 	lastAsk uint64
 
 	margin    float64 // Grace, but for the test that a shorter one is found out
@@ -213,7 +214,8 @@
 // New returns a Keeper without a session.
 func New(seed uint64) *Keeper {
 	return &Keeper{margin: Grace, rng: rand.New(rand.NewPCG(seed, 0x636c61696d)), streams: map[token.StreamID]*entry{},
-		handles: map[uint64]*entry{}, asks: map[uint64]*entry{}}
+		handles: map[uint64]*entry{}, asks: map[uint64]*entry{},
+		open: map[uint64]*entry{}}
 }
 
 // Until is when the claims are no longer to be trusted; 0 if there are none to trust.
@@ -243,8 +245,8 @@
 	if u := k.Until(); u > k.now {
 		next = min(next, u)
 	}
-	for _, e := range k.handles {
-		if !e.answered && e.token != 0 && e.until > k.now {
+	for _, e := range k.open {
+		if e.until > k.now {
 			next = min(next, e.until)
 		}
 	}
@@ -321,6 +323,9 @@
 	// An entry without a caller is one whose node is being deleted or looked at: the new caller waits for that.
 	e.handle, e.answered, e.token, e.until, e.expires, e.made = w.Handle, false, w.Generation, w.Until, w.Expires, false
 	k.handles[w.Handle] = e
+	if w.Generation != 0 {
+		k.open[w.Handle] = e
+	}
 	e.adopted = e.phase == taking
 	if e.phase == waiting {
 		k.start(e)
@@ -367,6 +372,7 @@
 // part separates an entry from its caller.
 func (k *Keeper) part(e *entry) {
 	delete(k.handles, e.handle)
+	delete(k.open, e.handle)
 	e.handle, e.answered = 0, false
 }
 
@@ -375,7 +381,7 @@
 		delete(k.streams, e.stream)
 	}
 	if e.handle != 0 {
-		delete(k.handles, e.handle)
+		k.part(e)
 	}
 }
 
@@ -461,7 +467,7 @@
 		k.proven = c.At
 	}
 	k.session, k.granted, k.connected = c.Session, c.Granted, true
-	for _, e := range k.sorted() {
+	for _, e := range k.sorted(every) {
 		switch e.phase {
 		case doubtful:
 			k.step(e, looking, Look, Record{})
@@ -475,25 +481,29 @@
 
 // tick answers callers whose patience is over, and goes on with what had to wait.
 func (k *Keeper) tick() {
-	for _, e := range k.sorted() {
-		if e.handle != 0 && !e.answered && e.token != 0 && k.now >= e.until {
-			k.refuse(e, e.handle, Slow)
-			continue
-		}
+	over := func(e *entry) bool { return k.open[e.handle] == e && k.now >= e.until }
+	waits := func(e *entry) bool { return e.phase == waiting && k.usable() }
+	unsaid := func(e *entry) bool { return e.phase == doubtful && k.connected } // the service had refused to say
+	for _, e := range k.sorted(func(e *entry) bool { return over(e) || waits(e) || unsaid(e) }) {
 		switch {
-		case e.phase == waiting && k.usable():
+		case over(e):
+			k.refuse(e, e.handle, Slow)
+		case waits(e):
 			k.start(e)
-		case e.phase == doubtful && k.connected: // the service had refused to say
+		case unsaid(e):
 			k.step(e, looking, Look, Record{})
 		}
 	}
 }
 
-// sorted lists the entries in one order, so that a Keeper with the same past does the same.
-func (k *Keeper) sorted() []*entry {
-	all := make([]*entry, 0, len(k.streams))
+func every(*entry) bool { return true }
+
+// sorted lists the entries that are wanted in one order, so that a Keeper with the same past does the same.
+func (k *Keeper) sorted(wanted func(*entry) bool) (all []*entry) {
 	for _, e := range k.streams {
-		all = append(all, e)
+		if wanted(e) {
+			all = append(all, e)
+		}
 	}
 	slices.SortFunc(all, func(a, b *entry) int {
 		return slices.Compare(a.stream[:], b.stream[:])
@@ -506,7 +516,7 @@
 	if k.session == 0 || k.now < k.Until() {
 		return
 	}
-	for _, e := range k.sorted() {
+	for _, e := range k.sorted(every) {
 		if e.phase == held {
 			e.phase = lapsed
 			k.do(Lapsed{e.handle})
@@ -517,7 +527,7 @@
 // expire forgets the session. Its nodes are gone, or were never made.
 func (k *Keeper) expire() {
 	k.session, k.connected = 0, false
-	for _, e := range k.sorted() {
+	for _, e := range k.sorted(every) {
 		switch e.phase {
 		case held:
 			e.phase = ghost
@@ -638,6 +648,7 @@
 	default:
 		e.phase, e.version, e.answered, e.blind, e.raise = held, r.Version, true, false, 0
 		e.wanted = e.record
+		delete(k.open, e.handle)
 		k.do(Won{e.handle, e.record.Generation})
 	}
 }
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -517,7 +517,7 @@
 	}
 	w.settle(1000)
 	for i, r := range w.relays {
-		if r.k.Streams() != 0 || len(r.k.asks) != 0 || len(r.k.handles) != 0 {
+		if r.k.Streams() != 0 || len(r.k.asks) != 0 || len(r.k.handles)+len(r.k.open) != 0 {
 			w.fail("relay %d keeps %d streams, %d asks, %d handles", i, r.k.Streams(), len(r.k.asks), len(r.k.handles))
 		}
 	}
--- /dev/null
+++ b/internal/resume/resume_test.go
@@ -0,0 +1,224 @@
+package resume
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/standin"
+	"capersail/internal/token"
+)
+
+type nobody struct{ wakes chan struct{} }
+
+func (nobody) Try(*memory.Call, memory.Attempt)                        {}
+func (nobody) Probe(memory.Server, func(decide.Status, decide.Report)) {}
+func (nobody) Pass([]byte) error                                       { return nil }
+func (nobody) Close(memory.Ending)                                     {}
+func (n nobody) Wake()                                                 {}
+
+// relay is a Service with an Exchange, without sockets but for the claim service's.
+type relay struct {
+	x *memory.Exchange
+	s *Service
+}
+
+func newRelay(t testing.TB, zk *standin.ZooKeeper, change func(*Config)) *relay {
+	t.Helper()
+	ring, err := token.NewRing([]token.Key{{ID: "a", Secret: bytes.Repeat([]byte{1}, 32)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := memory.NewClock()
+	site := &memory.Site{Settings: decide.Settings{RetryAfter: true, Classes: []decide.ClassInfo{{}}}}
+	c := Config{Relay: "n", Servers: []string{zk.Address}, Path: "/a/streams", Session: 4000, ClaimWithin: 20_000, TokenLife: 60_000,
+		Renew: 1000, Skew: 1000}
+	if change != nil {
+		change(&c)
+	}
+	r := &relay{memory.NewExchange(site, clock, nobody{}), New(c, ring, clock, zerolog.Nop())}
+	go r.s.Run(t.Context())
+	eventually(t, "connected", func() bool { return r.s.Until() > clock.Now() })
+	return r
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(60 * time.Second); !ok(); time.Sleep(200 * time.Microsecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: never", what)
+		}
+	}
+}
+
+func service(t testing.TB) *standin.ZooKeeper {
+	t.Helper()
+	zk, err := standin.NewZooKeeper("/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(zk.Close)
+	return zk
+}
+
+func (r *relay) open(st *Stream) *memory.Call {
+	return r.x.Open(memory.Ask{Claim: st, Left: 30_000}, nobody{})
+}
+
+// fresh makes n streams and gives them back; it returns their tokens.
+func (r *relay) fresh(t testing.TB, n int) (tokens []string) {
+	t.Helper()
+	var calls []*memory.Call
+	var streams []*Stream
+	for range n {
+		st := r.s.Fresh(Asked{Class: "m"})
+		streams = append(streams, st)
+		calls = append(calls, r.open(st))
+	}
+	eventually(t, "claimed", func() bool { return r.s.Stats().Won >= uint64(n) })
+	for i, st := range streams {
+		tokens = append(tokens, st.Token())
+		calls[i].Leave(memory.Clean)
+	}
+	for _, st := range streams {
+		<-st.released
+	}
+	return tokens
+}
+
+// resume opens with tokens, all at once, and waits until each call has its claim or its answer.
+func (r *relay) resume(t testing.TB, tokens []string) (calls []*memory.Call) {
+	t.Helper()
+	for _, text := range tokens {
+		st, note, err := r.s.Resume(text, Asked{Class: "m"})
+		if err != nil {
+			t.Fatal(note, err)
+		}
+		calls = append(calls, r.open(st))
+	}
+	for _, c := range calls {
+		eventually(t, "an answer", func() bool { state, _ := c.State(); return state != memory.Claiming })
+	}
+	return calls
+}
+
+// Records whose tokens have expired are removed; those that are held, or good still, stay.
+func TestSweep(t *testing.T) {
+	zk := service(t)
+	now := time.Now().UnixMilli()
+	r := newRelay(t, zk, nil)
+	r.s.wall = func() int64 { return now - 10_000_000 } // long ago
+	old := r.fresh(t, 3)
+	r.s.wall = func() int64 { return now }
+	r.fresh(t, 2)
+	r.s.wall = func() int64 { return now - 10_000_000 }
+	r.resume(t, old[:1]) // held since long ago
+	r.s.wall = func() int64 { return now }
+	r.s.Sweep(t.Context())
+	if left := zk.Nodes("/a/streams/"); len(left) != 2+1+1 || r.s.Stats().Swept != 2 {
+		t.Errorf("%d swept, left: %q", r.s.Stats().Swept, left)
+	}
+}
+
+// Two relays, one token: one call goes on to the module, the other is told when to come. What it had is the
+// other's once it is given back.
+func TestHeldElsewhere(t *testing.T) {
+	zk := service(t)
+	a, b := newRelay(t, zk, nil), newRelay(t, zk, nil)
+	tokens := a.fresh(t, 1)
+	first := a.resume(t, tokens)[0]
+	if state, _ := first.State(); state != memory.Held {
+		t.Fatalf("state %v", state)
+	}
+	second := b.resume(t, tokens)[0]
+	if _, answer := second.State(); answer.Kind != memory.Refused || answer.RetryAfter <= 0 || answer.RetryAfter > 4000 {
+		t.Errorf("%+v", answer)
+	}
+	first.Leave(memory.Clean)
+	eventually(t, "given back", func() bool { return len(zk.Nodes("/a/streams/")) == 1 })
+	if state, _ := b.resume(t, tokens)[0].State(); state != memory.Held {
+		t.Errorf("state %v", state)
+	}
+}
+
+// A stream whose session is forgotten before a token was given out is served on, and claimed anew; with a token
+// it is ended.
+func TestExpiredSession(t *testing.T) {
+	zk := service(t)
+	r := newRelay(t, zk, nil)
+	plain, given := r.s.Fresh(Asked{Class: "m"}), r.s.Fresh(Asked{Class: "m"})
+	a, b := r.open(plain), r.open(given)
+	eventually(t, "claimed", func() bool { return plain.gen.Load() == 1 && given.gen.Load() == 1 })
+	given.Token()
+	zk.Expire()
+	eventually(t, "ended", func() bool { state, _ := b.State(); return state == memory.Ended })
+	if given.Trusted() || given.Token() != "" {
+		t.Error("a stream that has lapsed is still trusted")
+	}
+	eventually(t, "claimed anew", func() bool { return plain.gen.Load() == 2 })
+	if state, _ := a.State(); state != memory.Held || !plain.Trusted() {
+		t.Errorf("without a token out: state %v, trusted %v", state, plain.Trusted())
+	}
+}
+
+// Claims of many streams do not wait for one another's answers: the service says nothing before it has all 200
+// questions.
+func TestClaimsArePipelined(t *testing.T) {
+	zk := service(t)
+	r := newRelay(t, zk, nil)
+	tokens := r.fresh(t, 200)
+	zk.Hold(200)
+	var calls []*memory.Call
+	for _, text := range tokens {
+		st, _, err := r.s.Resume(text, Asked{Class: "m"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		calls = append(calls, r.open(st))
+	}
+	for _, c := range calls {
+		eventually(t, "claimed", func() bool { state, _ := c.State(); return state == memory.Held })
+	}
+	if s := r.s.Stats(); s.Won != 400 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// BenchmarkClaims: claims a second where every answer of the service takes 1 ms, all at once and one by one.
+func BenchmarkClaims(b *testing.B) {
+	const n = 2000
+	zk := service(b)
+	r := newRelay(b, zk, nil)
+	tokens := r.fresh(b, n)
+	zk.Delay(time.Millisecond)
+	for _, k := range []struct {
+		name string
+		step int
+	}{{"together", n}, {"one by one", 1}} {
+		b.Run(k.name, func(b *testing.B) {
+			claims := 0
+			var spent time.Duration
+			for b.Loop() {
+				for i := 0; i < n && (k.step > 1 || i < 200); i += k.step {
+					began := time.Now()
+					calls := r.resume(b, tokens[i:i+k.step])
+					spent += time.Since(began)
+					for _, c := range calls {
+						c.Leave(memory.Clean)
+					}
+					claims += len(calls)
+					eventually(b, "given back", func() bool { return len(zk.Nodes("/a/streams/")) == n })
+				}
+			}
+			b.ReportMetric(float64(claims)/spent.Seconds(), "claims/s")
+			if s := r.s.Stats(); s.Held+s.Slow+s.Unreachable > 0 {
+				b.Error(fmt.Sprintf("%+v", s))
+			}
+		})
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -137,11 +137,18 @@
 }
 
 // Set changes one entry and tells every watch.
-func (d *Discovery) Set(id, address, lifecycle string) {
+func (d *Discovery) Set(id, address, lifecycle string) { d.Start(id, address, lifecycle, time.Time{}) }
+
+// Start is Set for a server that has started at a time; the zero one is long ago.
+func (d *Discovery) Start(id, address, lifecycle string, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
-	d.list[id] = strings.TrimSuffix(Entry(id, address, lifecycle), "}") + d.Extra + "}"
+	entry := Entry(id, address, lifecycle)
+	if !at.IsZero() {
+		entry = strings.Replace(entry, `"startedAtMs":0`, fmt.Sprintf(`"startedAtMs":%d`, at.UnixMilli()), 1)
+	}
+	d.list[id] = strings.TrimSuffix(entry, "}") + d.Extra + "}"
 	for _, w := range d.changed {
 		w <- d.text(false, d.list[id])
 	}
--- a/internal/standin/scans.go
+++ b/internal/standin/scans.go
@@ -131,8 +131,14 @@
 	Address string
 	Feed    *Feed
 	Ledger  *Ledger
-	// Load is what probes are told.
+	// Load is what probes are told where Capacity is 0.
 	Load float64
+	// Capacity is how many connections fill the server once it is warm. Cold at Started, it has StartPart of it, and
+	// all after Warm; one that holds over FallMultiple times what it can for FallFor has fallen over.
+	Capacity  float64
+	Started   time.Time
+	StartPart float64
+	Warm      time.Duration
 	// First, if set, is called with each first line before it is answered.
 	First func(line string)
 
@@ -145,6 +151,51 @@
 	killed bool
 	thaw   *sync.Cond
 	opened int // first lines, but for probes
+
+	peak    float64   // most connections over what it could do at that moment
+	overAt  time.Time // since when it is over FallMultiple
+	longest time.Duration
+}
+
+// The rule on cold servers, in its figures for this project.
+const (
+	FallMultiple = 4.0
+	FallFor      = 1500 * time.Millisecond
+)
+
+// load is what is asked of the server over what it can do now. The caller holds the lock.
+func (s *ScanServer) load() float64 {
+	if s.Capacity == 0 {
+		return s.Load
+	}
+	able := 1.0
+	if age := time.Since(s.Started); age < s.Warm {
+		able = s.StartPart + (1-s.StartPart)*float64(age)/float64(s.Warm)
+	}
+	n := 0.0
+	for _, serves := range s.conns {
+		if serves {
+			n++
+		}
+	}
+	x := n / (s.Capacity * able)
+	s.peak = max(s.peak, x)
+	if x <= FallMultiple {
+		s.overAt = time.Time{}
+	} else if s.overAt.IsZero() {
+		s.overAt = time.Now()
+	} else {
+		s.longest = max(s.longest, time.Since(s.overAt))
+	}
+	return x
+}
+
+// Strain is the highest load so far, and the longest time over FallMultiple.
+func (s *ScanServer) Strain() (peak float64, over time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load()
+	return s.peak, s.longest
 }
 
 // NewScanServer starts a server on loopback.
@@ -258,7 +309,10 @@
 		}
 		switch text := strings.TrimRight(line, "\r\n"); {
 		case text == "PING" || text == "STATS":
-			fmt.Fprintf(c, "PONG x0=%.3f,qps=3,queue=0\r\n", s.Load)
+			s.mu.Lock()
+			load := s.load()
+			s.mu.Unlock()
+			fmt.Fprintf(c, "PONG x0=%.3f,qps=3,queue=0\r\n", load)
 		case strings.HasPrefix(text, "OPEN "):
 			s.open(c, in, text)
 			return
@@ -318,6 +372,7 @@
 	}
 	s.mu.Lock()
 	s.conns[c] = true
+	s.load()
 	s.mu.Unlock()
 	if stream == "" {
 		fmt.Fprintf(c, "UP %s\r\n", parts[1])
--- a/internal/standin/viewer.go
+++ b/internal/standin/viewer.go
@@ -50,6 +50,9 @@
 	return t
 }
 
+// Forget empties the list of gaps.
+func (v *Viewer) Forget() { v.note(func(t *Tally) { t.Gaps = nil }) }
+
 // Held is the token that it has.
 func (v *Viewer) Held() string {
 	v.mu.Lock()
--- a/internal/standin/zookeeper.go
+++ b/internal/standin/zookeeper.go
@@ -47,6 +47,7 @@
 	refuse  bool
 	frozen  bool
 	delay   time.Duration
+	hold    int // so many requests must have come before the first of them is answered
 	swallow int // so many transactions are done, and their connection is cut instead of an answer
 }
 
@@ -56,6 +57,7 @@
 	out     chan zreply
 	list    bool // watches the children
 	data    map[string]bool
+	held    []zreply
 }
 
 type zreply struct {
@@ -202,6 +204,13 @@
 	z.faults.delay = d
 }
 
+// Hold answers nothing until n requests, but for pings, have come on one connection.
+func (z *ZooKeeper) Hold(n int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.faults.hold = n
+}
+
 // Swallow does the next n transactions without an answer and cuts their connections.
 func (z *ZooKeeper) Swallow(n int) {
 	z.mu.Lock()
@@ -395,7 +404,17 @@
 	default:
 		code, body, _ = z.step(c, op, in)
 	}
-	c.frame(append(u32(u64(u32(nil, xid), z.zxid), code), body...), time.Now().Add(z.faults.delay))
+	frame := append(u32(u64(u32(nil, xid), z.zxid), code), body...)
+	if z.faults.hold > 0 && op != 11 {
+		if c.held = append(c.held, zreply{frame: frame}); len(c.held) >= z.faults.hold {
+			for _, r := range c.held {
+				c.frame(r.frame, time.Time{})
+			}
+			c.held, z.faults.hold = nil, 0
+		}
+		return true
+	}
+	c.frame(frame, time.Now().Add(z.faults.delay))
 	return true
 }
 
--- /dev/null
+++ b/internal/wire/platform/resume_test.go
@@ -0,0 +1,153 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/resume"
+	"capersail/internal/standin"
+	"capersail/internal/token"
+	"capersail/internal/wire/gate"
+)
+
+// What a first line turns into where tokens are on: the relay's two fields never go on.
+func TestParseResuming(t *testing.T) {
+	for _, c := range []struct {
+		name, in, out, token string
+		position             uint64
+		fails                string
+	}{
+		{"without", "OPEN a 0f c=m,d=2000,q=1", "OPEN a 0f c=m,d=70,q=1", "", 0, ""},
+		{"new", "OPEN a 0f c=m,d=2000,resume=new", "OPEN a 0f c=m,d=70", "new", 0, ""},
+		{"first of all", "OPEN a 0f resume=cs1.a.b=,pos=12,c=m,d=2000", "OPEN a 0f c=m,d=70", "cs1.a.b=", 12, ""},
+		{"in the middle", "OPEN a 0f c=m,pos=3,t=x,resume=k,d=2000,g=5", "OPEN a 0f c=m,t=x,d=70,g=5", "k", 3, ""},
+		{"a position alone", "OPEN a 0f c=m,d=2000,pos=5", "OPEN a 0f c=m,d=70", "", 0, ""},
+		{"empty", "OPEN a 0f c=m,d=2000,resume=", "", "", 0, "is not name=value"},
+		{"negative", "OPEN a 0f c=m,d=2000,resume=k,pos=-4", "", "", 0, "position: "},
+		{"past all scans", "OPEN a 0f c=m,d=2000,resume=k,pos=9223372036854775807", "", "", 0, "position: "},
+		{"with at", "OPEN a 0f c=m,resume=k,at=s", "", "", 0, "exclude"},
+		{"no fields", "OPEN a 0f", "", "", 0, "form"},
+	} {
+		o, err := parseResuming([]byte(c.in + "\r\n"))
+		if err != nil {
+			if c.fails == "" || !strings.Contains(err.Error(), c.fails) {
+				t.Errorf("%s: %v", c.name, err)
+			}
+			continue
+		}
+		if got := strings.TrimSpace(string(o.line(70, ""))); got != c.out || o.resume != c.token || o.resume != "" && o.position != c.position || c.fails != "" {
+			t.Errorf("%s: %q, token %q, position %d", c.name, got, o.resume, o.position)
+		}
+	}
+}
+
+// flood is a server that says UP and then scans as fast as they are taken.
+func flood(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for line, err := in.ReadString('\n'); strings.HasPrefix(line, "STATS"); line, err = in.ReadString('\n') {
+					if fmt.Fprint(conn, "PONG x0=0.1\r\n"); err != nil {
+						return
+					}
+				}
+				fmt.Fprint(conn, "UP 1 from=1\r\n")
+				go in.WriteTo(new(bytes.Buffer))
+				out := bufio.NewWriterSize(conn, 2048)
+				for n := 1; ; n++ {
+					if _, err := fmt.Fprintf(out, "SCAN %d 0123456789abcdef0123456789abcdef\r\n", n); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// BenchmarkLines: lines a second to one client, with the extension off, on but not asked for, and with a token.
+// Run it several times; the kinds take turns.
+func BenchmarkLines(b *testing.B) {
+	zk, err := standin.NewZooKeeper("/")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(zk.Close)
+	ring, _ := token.NewRing([]token.Key{{ID: "a", Secret: make([]byte, 32)}})
+	clock := memory.NewClock()
+	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{Relays: 1, Zones: 1, MaxAttempts: 2,
+		Tick: memory.Duration(5), Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(3000)}}}}
+	x := memory.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, Keep: 4})
+	x.Members(decide.Whole, []memory.Listed{{ID: "s", Address: flood(b), Mode: decide.Ready, Resumes: true}})
+	service := resume.New(resume.Config{Relay: "n", Servers: []string{zk.Address}, Path: "/a", Session: 8000, ClaimWithin: 500,
+		TokenLife: 60_000, Renew: 5000}, ring, clock, zerolog.Nop())
+	go service.Run(b.Context())
+	for service.Until() < clock.Now() {
+		time.Sleep(time.Millisecond)
+	}
+	go memory.NewCore(x, 7, noList{}, zerolog.Nop()).Run(b.Context())
+	kinds := []struct {
+		name, more string
+		on         bool
+	}{{"off", "", false}, {"on, not asked for", "", true}, {"with a token", ",resume=new", true}}
+	spent, lines := make([]time.Duration, len(kinds)), make([]int, len(kinds))
+	n := 0
+	for b.Loop() {
+		for i, k := range kinds {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			f := &Front{X: x, Site: site, Gate: gate.New(clock, 64, zerolog.Nop())}
+			if k.on {
+				f.Resume = service
+			}
+			go f.Serve(l)
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			n++
+			fmt.Fprintf(conn, "OPEN %d 7f c=m,d=3000%s\r\n", n, k.more)
+			in := bufio.NewReaderSize(conn, 64<<10)
+			for range 2000 { // until it runs evenly, and has its token
+				in.ReadSlice('\n')
+			}
+			began := time.Now()
+			for range 100_000 {
+				if _, err := in.ReadSlice('\n'); err != nil {
+					b.Fatal(err)
+				}
+			}
+			spent[i] += time.Since(began)
+			lines[i] += 100_000
+			conn.Close()
+			l.Close()
+		}
+	}
+	for i, k := range kinds {
+		b.ReportMetric(float64(lines[i])/spent[i].Seconds(), strings.ReplaceAll(k.name, " ", "_")+"_lines/s")
+	}
+	b.ReportMetric(spent[0].Seconds()/spent[2].Seconds(), "with/off")
+}
