--- a/internal/resume/stream.go
+++ b/internal/resume/stream.go
@@ -258,14 +258,15 @@
 
 // Lease is for how long the server may serve on without hearing of us, in ms; 0 if it need not be told now.
 // Without it a relay that is stopped would leave its server serving while the next relay's does too. What the
-// lease is on its way to the server is part of claim.Grace.
+// lease is longer than our trust by half of claim.Grace, so that the client is told to move before its server
+// ends the stream; the other half is for the lease's way to the server.
 func (st *Stream) Lease() float64 {
 	now := st.s.Clock.Now()
 	if !st.leased || st.gen.Load() == 0 || now-st.keptAt < st.s.Session*leasePart {
 		return 0
 	}
 	st.keptAt = now
-	return max(1, st.s.Until()-now)
+	return max(1, st.s.Until()-now+claim.Grace/2)
 }
 
 // Token seals a token for now; "" if there is none to give.
--- a/internal/standin/viewer.go
+++ b/internal/standin/viewer.go
@@ -21,6 +21,7 @@
 	Token  bool          // it uses tokens
 	Say    time.Duration // it sends a line each so often, 0 for never
 	Relay  func() string // the address to come to now
+	Event  func(string)  // if set, called with whatever happens but scans
 
 	mu    sync.Mutex
 	held  string // its token
@@ -66,6 +67,12 @@
 	f(&v.tally)
 }
 
+func (v *Viewer) event(format string, args ...any) {
+	if v.Event != nil {
+		v.Event(fmt.Sprintf(format, args...))
+	}
+}
+
 // Run watches until the context ends.
 func (v *Viewer) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
@@ -116,6 +123,7 @@
 	}
 	words := strings.Fields(line)
 	v.note(func(t *Tally) { t.Answers++ })
+	v.event("answered %s", strings.TrimSpace(line))
 	switch {
 	case words[0] == "UP":
 		v.note(func(t *Tally) { t.Ups++ })
@@ -159,13 +167,16 @@
 		line, err := in.ReadString('\n')
 		if err != nil {
 			v.note(func(t *Tally) { t.Breaks++ })
+			v.event("the connection ended")
 			return soon()
 		}
 		switch words := strings.Fields(line); {
 		case len(words) == 0:
 		case words[0] == "SCAN":
 			x, _ := strconv.ParseUint(words[1], 10, 64)
-			v.scan(x, first)
+			if v.scan(x, first); first {
+				v.event("scan %d is the first that comes", x)
+			}
 			first = false
 		case words[0] == "TOKEN":
 			v.mu.Lock()
@@ -176,6 +187,7 @@
 			v.note(func(t *Tally) { t.Notes = append(t.Notes, strings.TrimSpace(line)) })
 		case words[0] == "MOVE":
 			v.note(func(t *Tally) { t.Moves++ })
+			v.event("told to move; the last scan was %d", v.Tally().Last)
 			return time.Duration(rand.IntN(20)) * time.Millisecond
 		}
 	}
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -165,6 +165,9 @@
 			line, looked = nil, false
 			continue
 		}
+		if st != nil && !st.Trusted() { // its server's lease has ended before we looked
+			return s.depart(c, e, client, st, within, load)
+		}
 		part(e, st)
 		client.Close(link.Ending(err))
 		return status, load
--- /dev/null
+++ b/internal/wire/zookeeper/session_test.go
@@ -0,0 +1,169 @@
+package zookeeper
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/internal/memory"
+	"capersail/internal/standin"
+)
+
+// watcher notes what happens to a session.
+type watcher struct {
+	mu       sync.Mutex
+	what     []string
+	sessions []int64
+}
+
+func (w *watcher) add(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.what = append(w.what, fmt.Sprintf(format, args...))
+}
+
+func (w *watcher) Connected(session int64, granted, _ float64) {
+	w.mu.Lock()
+	w.sessions = append(w.sessions, session)
+	w.mu.Unlock()
+	w.add("connected for %v ms", granted)
+}
+func (w *watcher) Disconnected()    { w.add("disconnected") }
+func (w *watcher) Expired()         { w.add("expired") }
+func (w *watcher) Answered(float64) {}
+
+func (w *watcher) wait(t *testing.T, want string, times int) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		n := 0
+		for _, what := range w.what {
+			if what == want {
+				n++
+			}
+		}
+		w.mu.Unlock()
+		if n >= times {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%q never came %d times: %q", want, times, w.what)
+		}
+	}
+}
+
+func open(t *testing.T) (*standin.ZooKeeper, *Session, *watcher) {
+	t.Helper()
+	zk, err := standin.NewZooKeeper("/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(zk.Close)
+	w := &watcher{}
+	s := NewSession([]string{zk.Address}, 1000, memory.NewClock(), w, zerolog.Nop())
+	go s.Run(t.Context())
+	w.wait(t, "connected for 1000 ms", 1)
+	return zk, s, w
+}
+
+// now waits for an answer.
+func now(f func(done func(Answer))) Answer {
+	c := make(chan Answer, 1)
+	f(func(a Answer) { c <- a })
+	return <-c
+}
+
+func TestRequests(t *testing.T) {
+	zk, s, _ := open(t)
+	var id int64
+	for i, k := range []struct {
+		name string
+		do   func(func(Answer))
+		want Code
+		more func(Answer) bool
+	}{
+		{"create", func(f func(Answer)) { s.Create("/a/x", []byte("1"), false, f) }, OK, nil},
+		{"again", func(f func(Answer)) { s.Create("/a/x", []byte("2"), false, f) }, NodeExists, nil},
+		{"without a parent", func(f func(Answer)) { s.Create("/b/x", nil, false, f) }, NoNode, nil},
+		{"get", func(f func(Answer)) { s.Get("/a/x", f) }, OK, func(a Answer) bool { return string(a.Data) == "1" && a.Stat.Version == 0 }},
+		{"get what is not there", func(f func(Answer)) { s.Get("/a/y", f) }, NoNode, nil},
+		{"set", func(f func(Answer)) { s.Set("/a/x", []byte("3"), 0, f) }, OK, func(a Answer) bool { return a.Stat.Version == 1 }},
+		{"set an old version", func(f func(Answer)) { s.Set("/a/x", []byte("4"), 0, f) }, BadVersion, nil},
+		{"a child of its own", func(f func(Answer)) { s.Create("/a/x/holder", nil, true, f) }, OK, nil},
+		{"exists", func(f func(Answer)) { s.Exists("/a/x/holder", f) }, OK, func(a Answer) bool { id = a.Stat.Owner; return id != 0 }},
+		{"delete with a child", func(f func(Answer)) { s.Delete("/a/x", -1, f) }, NotEmpty, nil},
+		{"children", func(f func(Answer)) { s.Children("/a/x", f) }, OK, func(a Answer) bool { return slices.Equal(a.Children, []string{"holder"}) }},
+		{"sync", func(f func(Answer)) { s.Sync("/a/x", f) }, OK, nil},
+		{"all or nothing: nothing", func(f func(Answer)) {
+			s.Multi([]Step{SetStep("/a/x", []byte("5"), 1), CreateStep("/a/x/holder", nil, true)}, f)
+		}, NodeExists, nil},
+		{"and nothing was done", func(f func(Answer)) { s.Get("/a/x", f) }, OK, func(a Answer) bool { return string(a.Data) == "3" && a.Stat.Version == 1 }},
+		{"the first fails", func(f func(Answer)) {
+			s.Multi([]Step{CheckStep("/a/x", 7), CreateStep("/a/z", nil, false)}, f)
+		}, BadVersion, nil},
+		{"all or nothing: all", func(f func(Answer)) {
+			s.Multi([]Step{CheckStep("/a/x", 1), SetStep("/a/x", []byte("6"), 1), CreateStep("/a/z", nil, false)}, f)
+		}, OK, func(a Answer) bool { return a.Stat.Version == 2 }},
+		{"delete", func(f func(Answer)) { s.Delete("/a/z", -1, f) }, OK, nil},
+	} {
+		if a := now(k.do); a.Code != k.want || k.more != nil && !k.more(a) {
+			t.Errorf("%d, %s: %+v, want code %d", i, k.name, a, k.want)
+		}
+	}
+	s.Close(1000)
+	if left := zk.Nodes("/a/x"); !slices.Equal(left, []string{"/a/x"}) {
+		t.Errorf("after the session's end: %q", left)
+	}
+}
+
+// A session outlives its connection and its address; what was out when it broke is answered Lost; a forgotten
+// one is told.
+func TestSessionIsKept(t *testing.T) {
+	zk, s, w := open(t)
+	second, err := zk.Also()
+	if err != nil {
+		t.Fatal(err)
+	}
+	now(func(f func(Answer)) { s.Create("/a/mine", nil, true, f) })
+	s.mu.Lock()
+	s.addresses = append(s.addresses, second)
+	s.mu.Unlock()
+	zk.Close() // the first address is gone for good
+	w.wait(t, "connected for 1000 ms", 2)
+	if w.sessions[0] != w.sessions[1] || len(zk.Nodes("/a/mine")) != 1 {
+		t.Errorf("sessions %v, %q", w.sessions, zk.Nodes("/a"))
+	}
+	zk.Swallow(1)
+	if a := now(func(f func(Answer)) { s.Multi([]Step{CreateStep("/a/lost", nil, true)}, f) }); a.Code != Lost {
+		t.Errorf("an answer that never came: %+v", a)
+	}
+	if len(zk.Nodes("/a/lost")) != 1 {
+		t.Error("and yet it was done")
+	}
+	w.wait(t, "connected for 1000 ms", 3)
+	zk.Expire()
+	w.wait(t, "expired", 1)
+	w.wait(t, "connected for 1000 ms", 4)
+	if w.sessions[3] == w.sessions[2] {
+		t.Error("a forgotten session was taken up")
+	}
+	s.Move([]string{second}) // as at a reload
+	w.wait(t, "connected for 1000 ms", 5)
+	zk.Freeze(true) // silence ends a connection, too, and everything out is answered
+	if a := now(func(f func(Answer)) { s.Get("/a", f) }); a.Code != Lost {
+		t.Errorf("from a frozen service: %+v", a)
+	}
+	zk.Freeze(false)
+}
+
+// FuzzAnswer: no frame makes the reader panic, or read without end.
+func FuzzAnswer(f *testing.F) {
+	f.Add(int32(opMulti), []byte{0, 0, 0, 5, 0, 0, 0, 0, 0})
+	f.Add(int32(opGetChildren), []byte{0x7f, 0xff, 0xff, 0xff, 0, 0, 0, 1, 'x'})
+	f.Add(int32(opGetData), make([]byte, 80))
+	f.Fuzz(func(_ *testing.T, op int32, p []byte) { answer(op, OK, &reader{p: p}) })
+}
