The tap, time lines and departures of servers, and the store

Need: what happened to a server before dawn is pieced together from logs.

The store opens after a write torn at any of the bytes that the last transaction changed in its meta pages, and every 64th of its data.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -391,8 +391,12 @@
 	if pick < 0 {
 		pick = b.anyone(r)
 	}
-	if pick < 0 || !b.admit(&b.fleet[pick]) {
-		b.turnAway(r)
+	switch {
+	case pick < 0:
+		b.turnAway(r, NoServer)
+		return
+	case !b.admit(&b.fleet[pick]):
+		b.turnAway(r, NoRoom)
 		return
 	}
 	s := &b.fleet[pick]
@@ -509,8 +513,18 @@
 	wait := b.jittered(b.set.Classes[r.Class].Aim/4, r.attempts-1, (r.deadline-b.now)/4)
 	unsafe := r.ranOn >= 0 && b.set.Classes[r.Class].Effect == Unsafe
 	late := r.deadline-b.now < 4*b.set.Tick
-	if unsafe || late || r.attempts >= min(2, b.set.MaxAttempts) || b.tokens[r.Tenant] < 1 {
-		b.turnAway(r)
+	switch {
+	case unsafe:
+		b.turnAway(r, NotAgain)
+		return
+	case late:
+		b.turnAway(r, NoTime)
+		return
+	case r.attempts >= min(2, b.set.MaxAttempts):
+		b.turnAway(r, NoRetry)
+		return
+	case b.tokens[r.Tenant] < 1:
+		b.turnAway(r, NoTokens)
 		return
 	}
 	b.tokens[r.Tenant]--
@@ -525,19 +539,19 @@
 
 // turnAway refuses, with a wait that grows with the key's failures here; where a refusal could hide an
 // effect it fails.
-func (b *Balancer) turnAway(r *request) {
+func (b *Balancer) turnAway(r *request, why Why) {
 	class := &b.set.Classes[r.Class]
 	n := b.keys.add(r.Key)
 	b.forget(r)
 	if r.ranOn >= 0 && (class.Effect == Unsafe || class.Scope != ScopeAll) {
-		b.do(Fail{ID: r.ID})
+		b.do(Fail{ID: r.ID, Why: why})
 		return
 	}
 	wait := b.jittered(class.Aim/2, n, b.set.MaxRetryAfter)
 	if !b.set.RetryAfter {
 		wait = 0
 	}
-	b.do(Refuse{ID: r.ID, RetryAfter: wait})
+	b.do(Refuse{ID: r.ID, RetryAfter: wait, Why: why})
 }
 
 func (b *Balancer) alarm(token uint64) {
--- a/decide/types.go
+++ b/decide/types.go
@@ -243,6 +243,28 @@
 func (DelayNote) event() {}
 func (Peer) event()      {}
 
+// Why says what stood in the way of a request that gets no server. It is told to people; nothing is decided by it.
+type Why uint8
+
+// The reasons.
+const (
+	NoReason Why = iota
+	NoServer     // none is listed, well and allowed
+	NoRoom       // the best one found has no room, or others will fill it
+	NoRetry      // its attempt failed, and its tries are used up
+	NoTokens     // its attempt failed, and its tenant has no retry token
+	NoTime       // its attempt failed too near its deadline
+	NotAgain     // its attempt may have run, and the class may not run twice
+)
+
+func (w Why) String() string {
+	return [...]string{"", "no server", "no room", "no retry", "no retry tokens", "no time", "may have run"}[min(w, NotAgain)]
+}
+
+func (s Status) String() string {
+	return [...]string{"ok", "error", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}[min(s, Moot)]
+}
+
 // Action is something a Balancer wants done. The types that implement it are all in this file.
 type Action interface{ action() }
 
@@ -257,9 +279,13 @@
 	Refuse struct {
 		ID         RequestID
 		RetryAfter time.Duration
+		Why        Why
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID  RequestID
+		Why Why
+	}
 	// Move ends an open connection politely; its client comes again.
 	Move struct{ ID RequestID }
 	// Probe asks a backend for its load.
--- a/internal/memory/clock.go
+++ b/internal/memory/clock.go
@@ -48,6 +48,10 @@
 	return clockStart + ms - float64(c.origin.UnixNano())/1e6
 }
 
+// Unix turns this clock's time into Unix time in milliseconds, by the one origin that was read at the start: it
+// does not step with the clock of the day.
+func (c *Clock) Unix(ms float64) float64 { return ms - clockStart + float64(c.origin.UnixNano())/1e6 }
+
 // Wall is when a network deadline falls that lies at ms on this clock.
 func (c *Clock) Wall(ms float64) time.Time { return time.Now().Add(Duration(ms - c.Now())) }
 
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
+	"capersail/internal/tap"
 )
 
 // Discovery is where the list of servers comes from. Neither method may block. Each is answered by one
@@ -37,12 +38,13 @@
 	acts    []decide.Action
 	swept   float64
 	tick    float64
+	pool    []decide.View // of the placement under way, for the tap
 }
 
 // NewCore returns the loop of a relay that has just started.
 func NewCore(x *Exchange, seed uint64, lister Discovery, log zerolog.Logger) *Core {
 	return &Core{x: x, balance: decide.New(x.site.Settings, seed), servers: x.servers, lister: lister, log: log,
-		tick: Millis(x.site.Settings.Tick)}
+		tick: Millis(x.site.Settings.Tick), pool: make([]decide.View, 0, tap.Peers+1)}
 }
 
 // timer is a moment at which the module wants an alarm, or the backstop looks at a request.
@@ -147,11 +149,14 @@
 func (c *Core) do(act decide.Action) {
 	switch a := act.(type) {
 	case decide.Send:
-		c.x.send(a.ID, a.Backend, Millis(a.Timeout))
+		if c.x.Tap != nil {
+			c.pool = c.balance.Pool(c.pool[:0])
+		}
+		c.x.send(a.ID, a.Backend, Millis(a.Timeout), c.pool)
 	case decide.Refuse:
-		c.x.finish(a.ID, Answer{Kind: Refused, RetryAfter: Millis(a.RetryAfter)})
+		c.x.finish(a.ID, Answer{Kind: Refused, RetryAfter: Millis(a.RetryAfter), why: a.Why, by: tap.Module})
 	case decide.Fail:
-		c.x.finish(a.ID, Answer{Kind: Failed})
+		c.x.finish(a.ID, Answer{Kind: Failed, why: a.Why, by: tap.Module})
 	case decide.Move:
 		c.x.move(a.ID)
 	case decide.Cancel:
@@ -179,6 +184,10 @@
 	c.servers.Probe(s, func(status decide.Status, report decide.Report) {
 		c.x.mu.Lock()
 		defer c.x.mu.Unlock()
+		if c.x.Tap != nil {
+			now := c.x.Clock.Now()
+			c.x.tapProbe(now, id, status, now-began, report)
+		}
 		c.x.post(decide.Probed{Backend: id, Status: status, Took: Duration(c.x.Clock.Now() - began), Report: report})
 	})
 }
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"capersail/decide"
+	"capersail/internal/tap"
 )
 
 // State is where a call stands.
@@ -45,6 +46,8 @@
 	RetryAfter float64 // with Refused, 0 for no advice
 	Cause      decide.Status
 	Note       string // with Failed, what the front may tell the client of the reason
+	why        decide.Why
+	by         tap.By
 }
 
 // Claim is a call's right to be served by this relay, where a stream may be at one relay only. Its methods
@@ -108,6 +111,8 @@
 // the newest list just before its first byte. It is safe for use by many goroutines; nothing in it blocks.
 type Exchange struct {
 	Clock *Clock
+	// Tap gets a record of whatever happens; nil for none. It is set before the first use.
+	Tap *tap.Tap
 
 	mu      sync.Mutex
 	site    *Site
@@ -144,6 +149,7 @@
 	moving   bool
 	silent   bool
 	lapsed   bool // its claim may be lost
+	wasUp    bool
 	remote   Remote
 	asked    float64 // when the oldest line went to the server that nothing came back for, 0 if none
 }
@@ -168,6 +174,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.post(x.roster.take(kind, list))
+	if x.Tap != nil {
+		x.tapList(kind)
+	}
 	for _, c := range x.calls { // whoever has a connection to a server that drains now may want to know
 		if c.out && c.remote != nil && c.attempt.listed().mode != decide.Ready {
 			c.remote.Wake()
@@ -203,7 +212,7 @@
 
 // elsewhere is the answer of a relay that is leaving: come again at once, to another.
 func (x *Exchange) elsewhere() Answer {
-	return Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64()}
+	return Answer{Kind: Refused, RetryAfter: 50 + 100*rand.Float64(), by: tap.Leaving}
 }
 
 // Resume takes on a connection that was open at a server before this relay started. The module hears of it
@@ -268,6 +277,9 @@
 	}
 	c.state, c.answer = Ended, a
 	close(c.settled)
+	if c.x.Tap != nil {
+		c.tapAnswer(a)
+	}
 	if c.out && c.remote != nil {
 		c.remote.Close(Clean)
 	}
@@ -341,7 +353,7 @@
 	case Claiming:
 		c.end(c.x.advised(Answer{Kind: Refused, RetryAfter: after}))
 	case Up:
-		c.move()
+		c.move(tap.Claim)
 	}
 }
 
@@ -351,7 +363,7 @@
 }
 
 // send does what the module wants: one more attempt. What the rules forbid is never sent.
-func (x *Exchange) send(id decide.RequestID, to decide.Backend, timeout float64) {
+func (x *Exchange) send(id decide.RequestID, to decide.Backend, timeout float64, pool []decide.View) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.calls[id]
@@ -361,6 +373,9 @@
 		return
 	}
 	c.try(x.roster.servers[to], timeout)
+	if x.Tap != nil {
+		c.tapPlace(pool)
+	}
 }
 
 // finish gives a request the module's final answer. It comes too late for one that is up or ended.
@@ -381,7 +396,7 @@
 		return false
 	}
 	x.post(decide.Gone{ID: id})
-	c.end(Answer{Kind: Failed, Cause: decide.TimedOut})
+	c.end(Answer{Kind: Failed, Cause: decide.TimedOut, by: tap.Late})
 	return true
 }
 
@@ -390,13 +405,16 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if c := x.calls[id]; c != nil {
-		c.move()
+		c.move(tap.Module)
 	}
 }
 
-func (c *Call) move() {
+func (c *Call) move(by tap.By) {
 	if c.state == Up && !c.moving {
 		c.moving = true
+		if c.x.Tap != nil {
+			c.x.Tap.Put(&tap.Record{At: c.x.Clock.Now(), Kind: tap.Move, Request: uint64(c.ID), Server: int32(c.attempt.Server.Number), By: by})
+		}
 		c.remote.Wake()
 	}
 }
@@ -444,7 +462,7 @@
 func (c *Call) Dismiss() {
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
-	c.move()
+	c.move(tap.Client)
 }
 
 // State is where the call stands, with the final answer if it ended without coming up.
@@ -563,7 +581,7 @@
 	if c.state != Trying || c.attempt.No != no || c.canceled {
 		return nil
 	}
-	c.state = Up
+	c.state, c.wasUp = Up, true
 	close(c.settled)
 	if c.resumed {
 		c.x.post(decide.Inherited{Request: c.request(), Backend: c.attempt.Server.Number})
@@ -571,8 +589,12 @@
 		c.x.post(decide.Opened{ID: c.ID, Attempt: no, Backend: c.attempt.Server.Number,
 			Took: Duration(c.x.Clock.Now() - c.attempt.SentAt)})
 	}
+	if c.x.Tap != nil {
+		c.x.Tap.Put(&tap.Record{At: c.x.Clock.Now(), Kind: tap.Up, Request: uint64(c.ID), Server: int32(c.attempt.Server.Number),
+			Took: c.x.Clock.Now() - c.attempt.SentAt, Attempt: uint8(min(no, 255))})
+	}
 	if c.x.leaving {
-		c.move()
+		c.move(tap.Leaving)
 	}
 	return c.client
 }
@@ -593,6 +615,9 @@
 		return
 	}
 	c.out = false
+	if c.x.Tap != nil {
+		c.tapEnd(status, report)
+	}
 	if (c.canceled || c.state == Ended) && !status.NeverRan() { // whatever else it met, it was called off
 		status = decide.Cancelled
 	}
@@ -637,6 +662,9 @@
 	now, s := c.x.Clock.Now(), c.attempt.listed()
 	if delay > Millis(shortest)/3 && now-s.notedAt >= 1000 {
 		s.notedAt = now
+		if c.x.Tap != nil {
+			c.x.Tap.Put(&tap.Record{At: now, Kind: tap.Delay, Request: uint64(c.ID), Server: int32(s.Number), Took: delay})
+		}
 		c.x.post(decide.DelayNote{ID: c.ID, Backend: s.Number, Delay: Duration(delay)})
 	}
 }
@@ -666,7 +694,7 @@
 		c.note(now - c.asked)
 		if now-c.asked >= silentAfter {
 			c.silent = true
-			c.move()
+			c.move(tap.Silence)
 		}
 	}
 }
@@ -684,7 +712,7 @@
 	defer x.mu.Unlock()
 	for _, c := range x.calls {
 		if n > 0 && c.state == Up && !c.moving {
-			c.move()
+			c.move(tap.Leaving)
 			n--
 		}
 	}
@@ -701,7 +729,7 @@
 		if c.risky() {
 			kind = Failed
 		}
-		c.end(Answer{Kind: kind})
+		c.end(Answer{Kind: kind, by: tap.Leaving})
 	}
 }
 
--- a/internal/memory/exchange_test.go
+++ b/internal/memory/exchange_test.go
@@ -110,7 +110,7 @@
 				}
 			case 1:
 				tries := len(wire.tries)
-				x.send(m.call.ID, decide.Backend(arg%2), float64(arg))
+				x.send(m.call.ID, decide.Backend(arg%2), float64(arg), nil)
 				allowed := m.state == Held && !m.out && m.sends < 3 && !(m.mayRun && who%2 == 1)
 				if allowed != (len(wire.tries) == tries+1) {
 					t.Fatalf("send in %+v: tried %v", m, !allowed)
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -44,6 +44,11 @@
 	mode    decide.Mode
 	notedAt float64 // when the module was last told of a slow message there
 	now     *Server // the roster's own, of which an attempt holds a copy
+
+	started   float64 // Unix ms, as the list has it
+	told      bool    // the tap knows mode and start
+	toldMode  decide.Mode
+	toldStart float64
 }
 
 // roster turns names into the module's numbers and holds the newest list. The Exchange guards it.
@@ -69,7 +74,7 @@
 			r.byID[l.ID] = s
 			r.servers = append(r.servers, s)
 		}
-		s.mode, s.Load, s.Resumes = l.Mode, l.Load, l.Resumes
+		s.mode, s.Load, s.Resumes, s.started = l.Mode, l.Load, l.Resumes, l.Started
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
 		}
--- /dev/null
+++ b/internal/memory/taps.go
@@ -0,0 +1,98 @@
+package memory
+
+import (
+	"capersail/decide"
+	"capersail/internal/tap"
+)
+
+// This file makes records for the tap. Callers hold the Exchange's lock and have looked that there is a tap.
+
+// tapList tells what a list has changed.
+func (x *Exchange) tapList(kind decide.ListKind) {
+	now := x.Clock.Now()
+	if kind == decide.Failed {
+		x.Tap.Put(&tap.Record{At: now, Kind: tap.NoList, Server: -1})
+		return
+	}
+	for _, s := range x.roster.servers {
+		if s.mode == s.toldMode && s.started == s.toldStart && s.told {
+			continue
+		}
+		s.told, s.toldMode, s.toldStart = true, s.mode, s.started
+		x.Tap.Put(&tap.Record{At: now, Kind: tap.List, Server: int32(s.Number), Mode: s.mode, Since: x.Clock.FromUnix(s.started), Load: -1})
+	}
+}
+
+// tapAnswer tells a final answer.
+func (c *Call) tapAnswer(a Answer) {
+	r := tap.Record{At: c.x.Clock.Now(), Kind: tap.Refuse, Request: uint64(c.ID), Server: -1, Status: a.Cause, Why: a.why, By: a.by}
+	switch a.Kind {
+	case NoAnswer:
+		return
+	case Failed:
+		r.Kind = tap.Fail
+	}
+	if c.sends > 0 {
+		r.Server = int32(c.attempt.Server.Number)
+	}
+	c.x.Tap.Put(&r)
+}
+
+// tapPlace tells an attempt, and what else the module could have chosen.
+func (c *Call) tapPlace(pool []decide.View) {
+	r := tap.Record{At: c.attempt.SentAt, Kind: tap.Place, Request: uint64(c.ID), Server: int32(c.attempt.Server.Number),
+		Attempt: uint8(min(c.attempt.No, 255)), Load: -1}
+	for _, v := range pool {
+		if v.Backend == c.attempt.Server.Number {
+			r.Load = float32(v.Load)
+		} else if r.Inside < tap.Peers {
+			r.Pool[r.Inside] = tap.Peer{Server: int32(v.Backend), Load: float32(v.Load), AgeMs: float32(Millis(v.Age)), Cold: v.Cold}
+			r.Inside++
+		}
+	}
+	c.x.Tap.Put(&r)
+}
+
+// tapEnd tells how an attempt ended, and who ended it: to the module a client that has left and a server that
+// sends its clients away look alike.
+func (c *Call) tapEnd(status decide.Status, report decide.Report) {
+	now := c.x.Clock.Now()
+	r := tap.Record{At: now, Kind: tap.End, Request: uint64(c.ID), Server: int32(c.attempt.Server.Number), Status: status,
+		Took: now - c.attempt.SentAt, Attempt: uint8(min(c.attempt.No, 255)), Load: float32(report.Load), Queue: float32(report.Inflight),
+		Errors: float32(report.Errors), By: tap.Server}
+	r.WasUp = c.wasUp
+	switch {
+	case c.silent:
+		r.By = tap.Silence
+	case c.moving:
+		r.By = tap.Module
+	case c.state == Ended:
+		r.By = tap.Client
+	case c.canceled:
+		r.By = tap.Module
+	}
+	c.x.Tap.Put(&r)
+}
+
+// tapProbe tells a probe's end.
+func (x *Exchange) tapProbe(at float64, s decide.Backend, status decide.Status, took float64, report decide.Report) {
+	x.Tap.Put(&tap.Record{At: at, Kind: tap.Probe, Server: int32(s), Status: status, Took: took, Load: float32(report.Load),
+		Queue: float32(report.Inflight), Errors: float32(report.Errors)})
+}
+
+// TurnedAway tells that the door refused a client for want of descriptors.
+func (x *Exchange) TurnedAway() {
+	if x.Tap != nil {
+		x.Tap.Put(&tap.Record{At: x.Clock.Now(), Kind: tap.Refuse, Server: -1, By: tap.Door})
+	}
+}
+
+// Names appends the ids of servers from number from on, in the order of their numbers.
+func (x *Exchange) Names(from int, out []string) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.roster.servers[min(from, len(x.roster.servers)):] {
+		out = append(out, s.ID)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,267 @@
+// Package report shows time lines: as text, JSON lines, CSV and pictures. What it shows is a Report, whether it
+// came from a running relay or from a store.
+package report
+
+import (
+	"cmp"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"capersail/decide"
+	"capersail/internal/depart"
+	"capersail/internal/timeline"
+)
+
+// Query says what is asked for. Times are Unix ms, 0 for no bound.
+type Query struct {
+	Servers []string `json:"servers,omitempty"` // none for all
+	From    float64  `json:"from,omitempty"`
+	To      float64  `json:"to,omitempty"`
+	Follow  bool     `json:"follow,omitempty"` // events as they come, after those that there are
+}
+
+// Wants tells whether a line is asked for. The fleet's always is.
+func (q Query) Wants(name string) bool {
+	return name == timeline.Fleet || len(q.Servers) == 0 || slices.Contains(q.Servers, name)
+}
+
+// Server is one line.
+type Server struct {
+	Name      string          `json:"server"`
+	State     string          `json:"state"`
+	Held      int             `json:"held"`
+	Bands     []timeline.Band `json:"bands"`
+	Steps     []timeline.Step `json:"steps"`
+	Events    []depart.Event  `json:"events"`
+	Forgotten float64         `json:"forgotten,omitempty"` // what was before is kept no more
+}
+
+// Report is an answer.
+type Report struct {
+	Relay   string   `json:"relay"`
+	At      float64  `json:"at"`
+	Servers []Server `json:"servers"`
+	Dropped uint64   `json:"dropped"`         // records and rows that were not kept
+	Evicted int      `json:"evicted"`         // lines that had to make room
+	Store   string   `json:"store,omitempty"` // why the store cannot be written
+}
+
+// AddEvents puts events on their lines.
+func (r *Report) AddEvents(events []depart.Event, q Query) {
+	for _, e := range events {
+		if !q.Wants(e.Server) {
+			continue
+		}
+		i := slices.IndexFunc(r.Servers, func(s Server) bool { return s.Name == e.Server })
+		if i < 0 {
+			r.Servers = append(r.Servers, Server{Name: e.Server})
+			i = len(r.Servers) - 1
+		}
+		r.Servers[i].Events = append(r.Servers[i].Events, e)
+	}
+	slices.SortFunc(r.Servers, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Cut drops what lies outside of the time asked for.
+func (r *Report) Cut(q Query) {
+	to := q.To
+	if to == 0 {
+		to = 1e18
+	}
+	outside := func(from, end float64) bool { return from > to || end != 0 && end < q.From }
+	for i := range r.Servers {
+		s := &r.Servers[i]
+		s.Bands = slices.DeleteFunc(s.Bands, func(b timeline.Band) bool { return outside(b.From, b.To) })
+		s.Steps = slices.DeleteFunc(s.Steps, func(x timeline.Step) bool { return outside(x.From, x.From+x.Width) })
+		s.Events = slices.DeleteFunc(s.Events, func(e depart.Event) bool { return outside(e.From, e.To) })
+	}
+}
+
+// Events lists all events by their beginnings.
+func (r *Report) Events() (all []depart.Event) {
+	for _, s := range r.Servers {
+		all = append(all, s.Events...)
+	}
+	slices.SortStableFunc(all, func(a, b depart.Event) int { return cmp.Compare(a.From, b.From) })
+	return all
+}
+
+// Clock writes a time of the day in UTC.
+func Clock(ms float64) string {
+	if ms == 0 {
+		return "..."
+	}
+	return time.UnixMilli(int64(ms)).UTC().Format("15:04:05.000")
+}
+
+func who(name string) string {
+	if name == timeline.Fleet {
+		return "(fleet)"
+	}
+	return name
+}
+
+// EventLine writes an event on one line.
+func EventLine(e depart.Event) string {
+	return fmt.Sprintf("%s - %-12s  %-14s  %-17s  %.0f %%  %s", Clock(e.From), Clock(e.To), who(e.Server), e.Name, 100*e.Confidence, e.Evidence)
+}
+
+// List writes one line a server.
+func (r *Report) List(w io.Writer) error {
+	fmt.Fprintf(w, "%-20s %-9s %5s %6s %7s %7s %6s  %s\n", "server", "state", "held", "load", "placed", "faults", "moved", "departures now")
+	for _, s := range r.Servers {
+		if s.Name == timeline.Fleet {
+			continue
+		}
+		load, t := "-", total(s.Steps)
+		for _, x := range s.Steps {
+			if x.Readings > 0 {
+				load = fmt.Sprintf("%.2f", x.Load[1])
+			}
+		}
+		var now []string
+		for _, e := range s.Events {
+			if e.To == 0 {
+				now = append(now, e.Name)
+			}
+		}
+		fmt.Fprintf(w, "%-20s %-9s %5d %6s %7d %7d %6d  %s\n", s.Name, s.State, s.Held, load, t.Places, faults(t), t.Moves, strings.Join(now, ", "))
+	}
+	return r.trailer(w)
+}
+
+// trailer says what is not shown.
+func (r *Report) trailer(w io.Writer) error {
+	if r.Dropped > 0 || r.Evicted > 0 {
+		fmt.Fprintf(w, "not kept: %d records, %d lines\n", r.Dropped, r.Evicted)
+	}
+	if r.Store != "" {
+		fmt.Fprintf(w, "the store cannot be written: %s\n", r.Store)
+	}
+	_, err := fmt.Fprint(w, "")
+	return err
+}
+
+func total(steps []timeline.Step) (t timeline.Step) {
+	for _, s := range steps {
+		t = timeline.Merge(t, s)
+	}
+	return t
+}
+
+// faults are the ends that a server is to blame for.
+func faults(s timeline.Step) (n uint32) {
+	for status, count := range s.Ends {
+		if st := decide.Status(status); st != decide.OK && st != decide.Moot && st != decide.Cancelled {
+			n += count
+		}
+	}
+	return n
+}
+
+const bars = " .:-=+*#%@"
+
+// Show draws each line: its bands, its load as a row of characters, counts and events.
+func (r *Report) Show(w io.Writer, width int) error {
+	for _, s := range r.Servers {
+		if s.Name == timeline.Fleet && len(s.Events) == 0 && total(s.Steps).Refusals == 0 {
+			continue
+		}
+		fmt.Fprintf(w, "%s  %s\n", who(s.Name), s.State)
+		if s.Forgotten > 0 {
+			fmt.Fprintf(w, "  kept from %s on\n", Clock(s.Forgotten))
+		}
+		for _, b := range s.Bands {
+			fmt.Fprintf(w, "  %s - %-12s  %-9s  %s\n", Clock(b.From), Clock(b.To), b.Name, b.Cause)
+		}
+		if n := len(s.Steps); n > 0 {
+			from, to := s.Steps[0].From, s.Steps[n-1].From+s.Steps[n-1].Width
+			row := []byte(strings.Repeat(" ", width))
+			for _, x := range s.Steps {
+				if x.Readings == 0 {
+					continue
+				}
+				mark := bars[min(len(bars)-1, 1+int(x.Load[1]*float32(len(bars)-2)))]
+				for i := int((x.From - from) / (to - from) * float64(width)); i <= int((x.From+x.Width-from)/(to-from)*float64(width)) && i < width; i++ {
+					row[i] = mark
+				}
+			}
+			t := total(s.Steps)
+			fmt.Fprintf(w, "  load %s|%s|%s  (. idle, @ full)\n", Clock(from), row, Clock(to))
+			fmt.Fprintf(w, "  placed %d, retries %d, up %d, moved %d, refused %d, probes %d (%d lost); set-up 99 %% %.1f ms at worst\n", t.Places,
+				t.Retries, t.Ups, t.Moves, t.Refusals, t.Probes, t.Lost, t.Setup[1])
+			if f := faults(t); f > 0 {
+				fmt.Fprintf(w, "  faults:")
+				for status, n := range t.Ends {
+					if n > 0 {
+						fmt.Fprintf(w, " %s %d", decide.Status(status), n)
+					}
+				}
+				fmt.Fprintln(w)
+			}
+		}
+		for _, e := range s.Events {
+			fmt.Fprintf(w, "  ! %s\n", EventLine(e))
+		}
+		fmt.Fprintln(w)
+	}
+	return r.trailer(w)
+}
+
+// JSON writes one line for each band, step and event.
+func (r *Report) JSON(w io.Writer) error {
+	out := json.NewEncoder(w)
+	for _, s := range r.Servers {
+		for _, b := range s.Bands {
+			if err := out.Encode(struct {
+				Server string `json:"server"`
+				Kind   string `json:"kind"`
+				timeline.Band
+			}{s.Name, "band", b}); err != nil {
+				return err
+			}
+		}
+		for _, x := range s.Steps {
+			if err := out.Encode(struct {
+				Server string `json:"server"`
+				Kind   string `json:"kind"`
+				timeline.Step
+			}{s.Name, "step", x}); err != nil {
+				return err
+			}
+		}
+		for _, e := range s.Events {
+			if err := out.Encode(struct {
+				Kind string `json:"kind"`
+				depart.Event
+			}{"event", e}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// CSV writes the steps as a table.
+func (r *Report) CSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	out.Write([]string{"server", "from_ms", "width_ms", "held", "places", "retries", "ups", "moves", "refusals", "faults", "probes", "probes_lost",
+		"load_least", "load_mean", "load_most", "setup_p50_ms", "setup_p99_ms", "message_ms"})
+	f := func(x float32) string { return strconv.FormatFloat(float64(x), 'g', 5, 32) }
+	u := func(x uint32) string { return strconv.FormatUint(uint64(x), 10) }
+	for _, s := range r.Servers {
+		for _, x := range s.Steps {
+			out.Write([]string{s.Name, strconv.FormatFloat(x.From, 'f', 0, 64), strconv.FormatFloat(x.Width, 'f', 0, 64),
+				strconv.Itoa(int(x.Held)), u(x.Places), u(x.Retries), u(x.Ups), u(x.Moves), u(x.Refusals), u(faults(x)), u(x.Probes), u(x.Lost),
+				f(x.Load[0]), f(x.Load[1]), f(x.Load[2]), f(x.Setup[0]), f(x.Setup[1]), f(x.Slow)})
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,229 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	bolt "go.etcd.io/bbolt"
+)
+
+func count(t *testing.T, s *Store, bucket string) (n int) {
+	t.Helper()
+	if err := s.Scan(bucket, 0, 1<<60, func(int64, string, []byte) bool { n++; return true }); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func open1(t *testing.T, path string, o Options) *Store {
+	t.Helper()
+	s, err := Open(path, o, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestRows(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	s := open1(t, path, Options{})
+	for i := range 100 {
+		s.Append("steps", int64(i), fmt.Sprint("s", i%3), []byte{byte(i)})
+	}
+	s.Append("steps", 7, "s1", []byte("over"))
+	s.Put("state", "list", []byte("x"))
+	s.write()
+	if n := count(t, s, "steps"); n != 100 {
+		t.Errorf("%d rows", n)
+	}
+	var got []string
+	s.Scan("steps", 6, 8, func(at int64, id string, v []byte) bool {
+		got = append(got, fmt.Sprint(at, id, string(v) == "over"))
+		return true
+	})
+	if fmt.Sprint(got) != "[6s0false 7s1true 8s2false]" {
+		t.Error(got)
+	}
+	if v, err := s.Get("state", "list"); string(v) != "x" || err != nil {
+		t.Errorf("%q, %v", v, err)
+	}
+}
+
+// What was written is there after a torn write: the file as any prefix of the last transaction leaves it, data pages
+// first, then the meta page, opens with all rows of the transaction before it, or of both.
+func TestTornWrite(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s.db")
+	s := open1(t, path, Options{})
+	for i := range 300 {
+		s.Append("rows", int64(i), "a", bytes.Repeat([]byte{1}, 40))
+	}
+	s.write()
+	before, _ := os.ReadFile(path)
+	for i := range 50 {
+		s.Append("rows", int64(1000+i), "b", bytes.Repeat([]byte{2}, 40))
+	}
+	s.write()
+	after, _ := os.ReadFile(path)
+	s.Close()
+	page := os.Getpagesize()
+	torn := make([]byte, len(after))
+	copy(torn, before)
+	check := func(what string, full bool) {
+		p := filepath.Join(dir, "torn.db")
+		os.WriteFile(p, torn, 0o600)
+		s, err := Open(p, Options{}, zerolog.Nop())
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		defer s.Close()
+		if n := count(t, s, "rows"); n != 300 && n != 350 || full && n != 350 {
+			t.Fatalf("%s: %d rows", what, n)
+		}
+	}
+	cuts := 0
+	for at := 2 * page; at < len(after); at++ {
+		if torn[at] == after[at] {
+			continue
+		}
+		torn[at] = after[at]
+		if cuts++; cuts%64 == 1 {
+			check(fmt.Sprint("data cut at ", at), false)
+		}
+	}
+	for at := range 2 * page {
+		if torn[at] != after[at] {
+			torn[at] = after[at]
+			check(fmt.Sprint("meta cut at ", at), false)
+			cuts++
+		}
+	}
+	check("whole", true)
+	if cuts < 100 {
+		t.Errorf("only %d bytes differ", cuts)
+	}
+}
+
+func TestRefusedFiles(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s.db")
+	s := open1(t, path, Options{})
+	for i := range 1000 {
+		s.Append("rows", int64(i), "a", bytes.Repeat([]byte{1}, 100))
+	}
+	s.write()
+	if _, err := Open(path, Options{}, zerolog.Nop()); !errors.Is(err, ErrInUse) || !strings.Contains(err.Error(), path) {
+		t.Errorf("a second daemon: %v", err)
+	}
+	s.Close()
+	good, _ := os.ReadFile(path)
+	for _, k := range []struct {
+		name string
+		text []byte
+		want error
+	}{
+		{"cut in half", good[:len(good)/2], ErrDamaged},
+		{"cut to a page", good[:4096], ErrDamaged},
+		{"nothing but text", []byte(strings.Repeat("not a store\n", 2000)), ErrDamaged},
+		{"a few bytes", []byte("x"), ErrDamaged},
+	} {
+		os.WriteFile(path, k.text, 0o600)
+		if _, err := Open(path, Options{}, zerolog.Nop()); !errors.Is(err, k.want) {
+			t.Errorf("%s: %v", k.name, err)
+		}
+	}
+	os.WriteFile(path, good, 0o600)
+	db, _ := bolt.Open(path, 0o600, nil)
+	db.Update(func(tx *bolt.Tx) error { return tx.Bucket(metaBucket).Put(versionKey, []byte{Version + 1}) })
+	db.Close()
+	if _, err := Open(path, Options{}, zerolog.Nop()); !errors.Is(err, ErrNewer) {
+		t.Errorf("of a newer version: %v", err)
+	}
+}
+
+// No disk, then one: rows wait, are bounded, and are written when there is a file.
+func TestNoDisk(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "missing")
+	s, err := Open(filepath.Join(dir, "s.db"), Options{MaxQueue: 10}, zerolog.Nop())
+	if err == nil {
+		t.Fatal("opened in a folder that is not there")
+	}
+	for i := range 25 {
+		s.Append("rows", int64(i), "a", nil)
+	}
+	s.write()
+	if s.Failing() == nil || s.Dropped() != 15 {
+		t.Errorf("failing %v, %d dropped", s.Failing(), s.Dropped())
+	}
+	os.Mkdir(dir, 0o700)
+	if err := s.open(); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.write()
+	if n := count(t, s, "rows"); n != 10 || s.Failing() != nil {
+		t.Errorf("%d rows, %v", n, s.Failing())
+	}
+}
+
+func TestBounds(t *testing.T) {
+	s := open1(t, filepath.Join(t.TempDir(), "s.db"), Options{MaxAge: 500 * time.Millisecond, MaxQueue: 1 << 20})
+	for i := range 2000 {
+		s.Append("rows", int64(i), "a", nil)
+	}
+	s.Put("state", "kept", []byte{1})
+	s.write()
+	if n := count(t, s, "rows"); n != 501 {
+		t.Errorf("%d rows within 500 ms", n)
+	}
+	if v, _ := s.Get("state", "kept"); v == nil {
+		t.Error("state has no age")
+	}
+	s = open1(t, filepath.Join(t.TempDir(), "s.db"), Options{MaxBytes: 1 << 20, MaxQueue: 1 << 20})
+	for i := range 100 {
+		for j := range 100 {
+			s.Append("rows", int64(i*100+j), "a", bytes.Repeat([]byte{1}, 1000))
+		}
+		s.write()
+	}
+	if info, _ := os.Stat(s.path); info.Size() > 4<<20 {
+		t.Errorf("%d bytes of 10 MB", info.Size())
+	}
+	last := int64(0)
+	s.Scan("rows", 0, 1<<60, func(at int64, _ string, _ []byte) bool { last = at; return true })
+	if last != 9999 {
+		t.Errorf("the newest row is of %d", last)
+	}
+}
+
+// Run writes what is left at its end.
+func TestRun(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	s, err := Open(path, Options{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { s.Run(ctx); close(ended) }()
+	s.Append("rows", 1, "a", nil)
+	s.Flush()
+	if n := count(t, s, "rows"); n != 1 {
+		t.Errorf("%d rows", n)
+	}
+	s.Append("rows", 2, "a", nil)
+	stop()
+	<-ended
+	if n := count(t, open1(t, path, Options{ReadOnly: true}), "rows"); n != 2 {
+		t.Errorf("%d rows after the end", n)
+	}
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,346 @@
+// Package watch is the driver round time lines and departures for one relay: it takes the tap's records, folds them,
+// keeps what is closed in a store, and answers questions. Times are Unix times in milliseconds, by the relay's own
+// clock.
+package watch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"capersail/internal/depart"
+	"capersail/internal/memory"
+	"capersail/internal/report"
+	"capersail/internal/store"
+	"capersail/internal/tap"
+	"capersail/internal/timeline"
+)
+
+const (
+	lookEvery  = 100.0    // ms between two looks at the tap
+	rowWidth   = 10_000.0 // ms of a row of steps in the store; the newest is written over each second
+	rowEvery   = 1000.0
+	eventsKept = 2048
+	followers  = 16
+)
+
+// Config says what is kept.
+type Config struct {
+	Relay  string
+	Buffer int // records that wait to be folded
+	Limits timeline.Limits
+	Most   int          // servers that departures are looked for at
+	Store  *store.Store // nil for none
+}
+
+// Watcher is one relay's.
+type Watcher struct {
+	Config
+	x   *memory.Exchange
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	book    *timeline.Book
+	depart  *depart.Watch
+	names   []string
+	events  []depart.Event // ended ones and those that last, by their beginnings
+	dropped uint64
+	folded  uint64
+	rows    map[string]*timeline.Step // the open row of each line
+	written float64
+	follow  map[chan depart.Event]bool
+	spare   []tap.Record
+	changes []depart.Change
+}
+
+// New returns a Watcher of an Exchange, which it gives a tap. It is called before the Exchange is used.
+func New(c Config, x *memory.Exchange, log zerolog.Logger) *Watcher {
+	w := &Watcher{Config: c, x: x, log: log, book: timeline.New(c.Limits), depart: depart.New(c.Most),
+		rows: map[string]*timeline.Step{}, follow: map[chan depart.Event]bool{}}
+	x.Tap = tap.New(c.Buffer)
+	if c.Store != nil {
+		w.book.Sink = timeline.Sink{Band: w.band, Step: w.step}
+	}
+	return w
+}
+
+// Run folds until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			w.Fold()
+			w.rest()
+			return
+		case <-w.x.Tap.Ready():
+		case <-w.x.Clock.After(lookEvery):
+		}
+		w.Fold()
+	}
+}
+
+// Fold takes what the tap has.
+func (w *Watcher) Fold() {
+	records := w.x.Tap.Take(w.spare)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range records {
+		r := &records[i]
+		w.take(r)
+	}
+	w.spare = records[:0]
+	w.tick(w.x.Clock.Unix(w.x.Clock.Now()))
+}
+
+func (w *Watcher) take(r *tap.Record) {
+	r.At = w.x.Clock.Unix(r.At)
+	if r.Since > 0 {
+		r.Since = w.x.Clock.Unix(r.Since)
+	}
+	name := timeline.Fleet
+	if r.Server >= 0 {
+		if int(r.Server) >= len(w.names) {
+			w.names = w.x.Names(len(w.names), w.names)
+		}
+		name = w.names[r.Server]
+	}
+	w.folded++
+	if r.Kind == tap.Dropped {
+		w.dropped += uint64(r.Count)
+	}
+	w.book.Fold(name, r)
+	w.depart.Take(name, r)
+	w.look(r.At)
+}
+
+// look lets departures be looked for at a time.
+func (w *Watcher) look(at float64) {
+	w.changes = w.depart.Tick(at, w.changes[:0])
+	for _, c := range w.changes {
+		w.changed(c.Event)
+	}
+}
+
+func (w *Watcher) tick(now float64) {
+	w.book.Tick(now)
+	w.look(now)
+	if w.Store != nil && now-w.written >= rowEvery {
+		w.written = now
+		for name, row := range w.rows {
+			w.put(name, row)
+			if now-row.From > rowWidth+rowEvery {
+				delete(w.rows, name)
+			}
+		}
+	}
+}
+
+// changed notes an event that has begun or ended.
+func (w *Watcher) changed(e depart.Event) {
+	line := w.log.Info().Str("server", e.Server).Str("event", e.Name).Str("evidence", e.Evidence)
+	if e.To != 0 {
+		line.Msg("departure ended")
+	} else {
+		line.Float64("confidence", e.Confidence).Msg("departure")
+	}
+	i := slices.IndexFunc(w.events, func(o depart.Event) bool {
+		return o.Server == e.Server && o.Kind == e.Kind && o.From == e.From
+	})
+	if i >= 0 {
+		w.events[i] = e
+	} else {
+		if len(w.events) == eventsKept {
+			w.events = append(w.events[:0], w.events[1:]...)
+		}
+		w.events = append(w.events, e)
+	}
+	if w.Store != nil {
+		w.append(bucketEvents, int64(e.From), e.Name+"\x00"+e.Server, e)
+	}
+	for c := range w.follow {
+		select {
+		case c <- e:
+		default: // it reads too slowly: it is told of no more
+			delete(w.follow, c)
+			close(c)
+		}
+	}
+}
+
+// The store's buckets.
+const (
+	bucketBands  = "bands"
+	bucketSteps  = "steps"
+	bucketEvents = "events"
+)
+
+func (w *Watcher) append(bucket string, at int64, id string, v any) {
+	text, err := cbor.Marshal(v)
+	if err != nil {
+		w.log.Error().Err(err).Msg("row cannot be written")
+		return
+	}
+	w.Store.Append(bucket, at, id, text)
+}
+
+func (w *Watcher) band(line string, b timeline.Band) {
+	w.append(bucketBands, int64(b.From), line, b)
+}
+
+// step adds a step of the finest width to the line's open row.
+func (w *Watcher) step(line string, s timeline.Step) {
+	from := float64(int64(s.From/rowWidth)) * rowWidth
+	row := w.rows[line]
+	if row != nil && row.From != from {
+		w.put(line, row)
+		row = nil
+	}
+	if row == nil {
+		s.From, s.Width = from, rowWidth
+		w.rows[line] = &s
+		return
+	}
+	merged := timeline.Merge(*row, s)
+	*row = merged
+}
+
+func (w *Watcher) put(line string, row *timeline.Step) {
+	w.append(bucketSteps, int64(row.From), line, row)
+}
+
+// rest writes what is open.
+func (w *Watcher) rest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.Store != nil {
+		for name, row := range w.rows {
+			w.put(name, row)
+		}
+	}
+}
+
+// Follow returns a channel of events as they begin and end. It is closed when its reader is too slow; nil if there
+// are too many. Call stop at the end.
+func (w *Watcher) Follow() (events <-chan depart.Event, stop func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.follow) >= followers {
+		return nil, func() {}
+	}
+	c := make(chan depart.Event, 256)
+	w.follow[c] = true
+	return c, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.follow, c)
+	}
+}
+
+// Report answers a question from memory.
+func (w *Watcher) Report(q report.Query) *report.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.x.Clock.Unix(w.x.Clock.Now())
+	r := &report.Report{Relay: w.Relay, At: now, Dropped: w.dropped, Evicted: w.book.Evicted}
+	if w.Store != nil {
+		if err := w.Store.Failing(); err != nil {
+			r.Store = err.Error()
+		}
+		r.Dropped += w.Store.Dropped()
+	}
+	for _, name := range w.book.Names() {
+		if !q.Wants(name) {
+			continue
+		}
+		l := w.book.Line(name)
+		r.Servers = append(r.Servers, report.Server{Name: name, State: l.State().String(), Held: l.Held(),
+			Bands: slices.Clone(l.Bands), Steps: l.Steps(), Forgotten: l.Forgotten})
+	}
+	r.AddEvents(w.events, q)
+	r.Cut(q)
+	return r
+}
+
+// FromStore answers a question from a store, of a daemon that need not run.
+func FromStore(s *store.Store, q report.Query) (*report.Report, error) {
+	r := &report.Report{At: float64(time.Now().UnixMilli())}
+	lines := map[string]*report.Server{}
+	line := func(name string) *report.Server {
+		l := lines[name]
+		if l == nil {
+			l = &report.Server{Name: name}
+			lines[name] = l
+		}
+		return l
+	}
+	from, to := int64(q.From), int64(q.To)
+	if to == 0 {
+		to = 1<<62 - 1
+	}
+	var bad error
+	err := s.Scan(bucketSteps, from, to, func(at int64, id string, v []byte) bool {
+		if q.Wants(id) {
+			var step timeline.Step
+			if bad = cbor.Unmarshal(v, &step); bad != nil {
+				return false
+			}
+			l := line(id)
+			l.Steps = append(l.Steps, step)
+			r.At = step.From + step.Width
+		}
+		return true
+	})
+	if err == nil {
+		err = s.Scan(bucketBands, 0, to, func(at int64, id string, v []byte) bool {
+			if q.Wants(id) {
+				var b timeline.Band
+				if bad = cbor.Unmarshal(v, &b); bad != nil {
+					return false
+				}
+				b.Name = b.State.String()
+				l := line(id)
+				if n := len(l.Bands); n > 0 && l.Bands[n-1].To == 0 { // the daemon ended before it could say
+					l.Bands[n-1].To = b.From
+				}
+				l.Bands = append(l.Bands, b)
+				l.State = b.Name
+			}
+			return true
+		})
+	}
+	var events []depart.Event
+	if err == nil {
+		err = s.Scan(bucketEvents, 0, to, func(at int64, id string, v []byte) bool {
+			var e depart.Event
+			if bad = cbor.Unmarshal(v, &e); bad != nil {
+				return false
+			}
+			e.Name = e.Kind.String()
+			events = append(events, e)
+			return true
+		})
+	}
+	if err = firstOf(err, bad); err != nil {
+		return nil, err
+	}
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
+		r.Servers = append(r.Servers, *lines[name])
+	}
+	r.AddEvents(events, q)
+	r.Cut(q)
+	return r, nil
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -68,6 +68,7 @@
 			return nil
 		}
 		if !p.Ask() { // the bound on descriptors: better a no at once than an accept that fails
+			f.X.TurnedAway()
 			e.Pass([]byte("BUSY 500\r\n"))
 			return nil
 		}
