--- /dev/null
+++ b/cmd/capersail/timeline_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The program with time lines: it answers on its socket, and after kill -9 its store has what was more than a second
+// old. A second daemon on the same file serves all the same.
+func TestTimelineOutlivesAKill(t *testing.T) {
+	d, s := stage(t, "s1")
+	dir := t.TempDir()
+	file, socket, db := filepath.Join(dir, "timeline.toml"), filepath.Join(dir, "c.sock"), filepath.Join(dir, "t.db")
+	os.WriteFile(file, fmt.Appendf(nil, "socket = %q\nstore = %q\n", socket, db), 0o600)
+	config := configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = "127.0.0.1:0", d.Address
+		c["known"] = json.RawMessage(d.Whole())
+	})
+	serve := func(more ...string) (*exec.Cmd, string, <-chan string) {
+		cmd := program(t, config)
+		cmd.Args = append(cmd.Args, more...)
+		logs, err := cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		address, said := make(chan string, 1), make(chan string, 1024)
+		go followLogs(logs, func(l logLine) {
+			if l.Message == "serving" {
+				address <- l.Listen
+			}
+			said <- l.Message + ": " + l.Error
+		})
+		return cmd, <-address, said
+	}
+	ask := func(args ...string) string {
+		cmd := program(t, config)
+		cmd.Args = append(cmd.Args, append([]string{"timeline"}, args...)...)
+		out, _ := cmd.Output()
+		return string(out)
+	}
+	cmd, address, _ := serve("--timeline", file)
+	for i := range 5 {
+		dial(t, address).ask(t, fmt.Sprintf("OPEN t%d 7f3a c=map-stream,t=acme,d=2000", i), "UP")
+		<-s.Firsts
+	}
+	f := &fleet{t: t}
+	f.wait("its answer on the socket", func() bool { return strings.Contains(ask("--socket", socket, "show", "s1"), "placed 5,") })
+	f.wait("a row in the store", func() bool { // which the daemon has locked: a copy is read
+		text, _ := os.ReadFile(db)
+		os.WriteFile(db+".copy", text, 0o600)
+		return strings.Contains(ask("--store", db+".copy", "show", "s1"), "placed 5,")
+	})
+	other := filepath.Join(dir, "other.toml")
+	os.WriteFile(other, fmt.Appendf(nil, "store = %q\n", db), 0o600)
+	two, address, said := serve("--timeline", other)
+	dial(t, address).ask(t, "OPEN u1 7f3a c=map-stream,t=acme,d=2000", "UP")
+	f.wait("a word about the file", func() bool {
+		select {
+		case line := <-said:
+			return strings.Contains(line, "in use by another process")
+		default:
+			return false
+		}
+	})
+	two.Process.Kill() // before it tries the file again
+	two.Wait()
+	cmd.Process.Kill()
+	cmd.Wait()
+	if got := ask("--store", db, "show", "s1"); !strings.Contains(got, "placed 5,") || !strings.Contains(got, "warm") {
+		t.Errorf("after kill -9 the store has %q", got)
+	}
+}
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -31,23 +31,30 @@
 
 func (p *Program) demo() *cobra.Command {
 	var every time.Duration
-	var picture string
+	var picture, keep string
 	c := &cobra.Command{Use: "demo", Short: "Run it all on loopback: discovery, servers, a relay, clients, a drain, a kill; then show the time line",
 		Args: arguments(cobra.NoArgs), RunE: func(cmd *cobra.Command, _ []string) error {
-			return p.runDemo(cmd.Context(), every, picture)
+			return p.runDemo(cmd.Context(), every, picture, keep)
 		}}
 	c.Flags().DurationVar(&every, "every", 5*time.Second, "time between two things that happen")
 	c.Flags().StringVar(&picture, "picture", "", "also draw the time line into this `file`, PNG or SVG")
+	c.Flags().StringVar(&keep, "store", "", "keep the time line in this `file`, for `capersail timeline --store`")
 	return c
 }
 
 // runDemo runs the demo. The relay in it is the whole one, started as the program starts it.
-func (p *Program) runDemo(ctx context.Context, every time.Duration, picture string) error {
+func (p *Program) runDemo(ctx context.Context, every time.Duration, picture, keep string) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	if keep != "" {
+		var err error
+		if keep, err = filepath.Abs(keep); err != nil {
+			return err
+		}
+	}
 	dir, err := os.MkdirTemp("", "capersail-demo")
 	if err != nil {
 		return err
@@ -76,7 +83,7 @@
 	address := l.Addr().String()
 	l.Close()
 	config, lines, socket := filepath.Join(dir, "config.json"), filepath.Join(dir, "timeline.toml"), filepath.Join(dir, "control.sock")
-	for name, text := range map[string]string{config: fmt.Sprintf(demoConfig, address, list.Address), lines: fmt.Sprintf("socket = %q\n", socket)} {
+	for name, text := range map[string]string{config: fmt.Sprintf(demoConfig, address, list.Address), lines: fmt.Sprintf("socket = %q\nstore = %q\n", socket, keep)} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/internal/depart/depart.go
+++ b/internal/depart/depart.go
@@ -82,11 +82,12 @@
 	fewPeers    = 3
 	flapTimes   = 4
 	flapFor     = 60_000.0
-	crashFor    = 1000.0 // breaks that come together
-	backFor     = 30_000.0
-	listFails   = 2
-	fleetPart   = 0.5 // beyond this part of the servers, and fewPeers, it is the fleet
-	recallKept  = 16  // times remembered of each sort
+	crashFor    = 1000.0    // breaks that come together
+	backFor     = 120_000.0 // a relay that leaves it out may look again late
+
+	listFails  = 2
+	fleetPart  = 0.5 // beyond this part of the servers, and fewPeers, it is the fleet
+	recallKept = 16  // times remembered of each sort
 )
 
 // Event is one departure.
@@ -130,6 +131,12 @@
 	return t[len(t)-1]
 }
 
+// found is a pattern that is there.
+type found struct {
+	evidence string
+	sure     float64
+}
+
 type sample struct{ at, took float64 }
 
 // watched is what is known of one server.
@@ -151,6 +158,7 @@
 
 	probeTook []float64
 	setups    []sample
+	latest    float64 // median of the last seconds, as of this look
 	past      float64 // mean of log set-up time
 	pastCount int
 
@@ -163,6 +171,7 @@
 	seen    [kinds]float64 // since when the pattern is there, 0 if it is not
 	absent  [kinds]float64 // since when it is not, while an event lasts
 	current [kinds]*Event
+	found   found // the pattern that is looked at now
 	touched float64
 }
 
@@ -174,6 +183,8 @@
 	most     int // servers at once
 	now      float64
 	lastTick float64
+
+	loads, setups []float64 // of all servers now, in order: whoever is far from their median is far from its peers
 }
 
 // New returns a Watch that knows so many servers at once at most.
@@ -359,22 +370,28 @@
 }
 
 // lately is the median set-up time of the last seconds; 0 if there are too few.
-func (s *watched) lately(now float64) (took float64, n int) {
-	var all []float64
+func (s *watched) lately(now float64) float64 {
+	var all [slowMost]float64
+	n := 0
 	for _, x := range s.setups[max(0, len(s.setups)-slowMost):] {
 		if x.at > now-slowFor {
-			all = append(all, x.took)
+			all[n] = x.took
+			n++
 		}
 	}
-	if len(all) < slowSamples {
-		return 0, len(all)
+	if n < slowSamples {
+		return 0
 	}
-	return median(all), len(all)
+	slices.Sort(all[:n])
+	return all[n/2]
 }
 
 // slower tells whether its set-ups are slow against its own past.
-func (s *watched) slower(now float64) (took float64, yes bool) {
-	took, _ = s.lately(now)
+func (s *watched) slower() (took float64, yes bool) {
+	took = s.latest
+	if took == 0 {
+		return 0, false
+	}
 	past := math.Exp(s.past)
 	return took, took > 0 && s.pastCount >= pastSamples && took > slowTimes*past && took > past+slowLeast
 }
@@ -437,18 +454,12 @@
 			return fmt.Sprintf("%d errors in a row", n), grown(n, inRow)
 		}
 	case Slow:
-		took, slow := s.slower(now)
+		took, slow := s.slower()
 		if !slow {
 			return "", 0
 		}
-		var peers []float64
-		for _, p := range w.order {
-			if m, _ := p.lately(now); p != s && m > 0 {
-				peers = append(peers, m)
-			}
-		}
-		if m := median(peers); len(peers) >= fewPeers && took > slowTimes*m && took > m+slowLeast {
-			return fmt.Sprintf("set-ups take %.0f ms; %.0f at %d peers, %.0f before", took, m, len(peers), math.Exp(s.past)), 0.9
+		if m := middle(w.setups); len(w.setups) > fewPeers && took > slowTimes*m && took > m+slowLeast {
+			return fmt.Sprintf("set-ups take %.0f ms; %.0f at %d peers, %.0f before", took, m, len(w.setups)-1, math.Exp(s.past)), 0.9
 		}
 	case RestartedUnsaid:
 		if s.restarted != 0 && now-s.restarted < window {
@@ -463,14 +474,8 @@
 			return fmt.Sprintf("out of the list or back %d times in %.0f s", n, flapFor/1000), grown(n, flapTimes)
 		}
 	case Uneven:
-		var peers []float64
-		for _, p := range w.order {
-			if p != s && p.mode == decide.Ready && p.loadAt != 0 && p.load >= 0 && now-p.loadAt < freshFor {
-				peers = append(peers, p.load)
-			}
-		}
-		if m := median(peers); s.loadAt != 0 && now-s.loadAt < freshFor && len(peers) >= fewPeers && s.load-m > max(unevenBy, unevenPart*m) {
-			return fmt.Sprintf("load %.2f where the median of %d peers is %.2f", s.load, len(peers), m), min(0.95, 0.5+(s.load-m)/2)
+		if m := middle(w.loads); s.reads(now) && len(w.loads) > fewPeers && s.load-m > max(unevenBy, unevenPart*m) {
+			return fmt.Sprintf("load %.2f where the median of %d servers is %.2f", s.load, len(w.loads), m), min(0.95, 0.5+(s.load-m)/2)
 		}
 	case Refusing:
 		if n := s.full.since(now - window); n >= burst && s.ups.since(s.full.first(n)) == 0 {
@@ -483,6 +488,34 @@
 	return "", 0
 }
 
+// reads tells whether there is a reading that says something of now.
+func (s *watched) reads(now float64) bool {
+	return s.mode == decide.Ready && s.loadAt != 0 && s.load >= 0 && now-s.loadAt < freshFor
+}
+
+// middle is the median of what is in order already.
+func middle(sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)/2]
+}
+
+// compare gathers what servers are compared with, once for all of them.
+func (w *Watch) compare() {
+	w.loads, w.setups = w.loads[:0], w.setups[:0]
+	for _, s := range w.order {
+		if s.reads(w.now) {
+			w.loads = append(w.loads, s.load)
+		}
+		if s.latest = s.lately(w.now); s.latest > 0 {
+			w.setups = append(w.setups, s.latest)
+		}
+	}
+	slices.Sort(w.loads)
+	slices.Sort(w.setups)
+}
+
 // Change is an event that has begun, or ended where To is set.
 type Change struct{ Event }
 
@@ -496,6 +529,7 @@
 		return out
 	}
 	w.lastTick = w.now
+	w.compare()
 	for k := Kind(0); k < NoList; k++ {
 		out = w.tick(k, out)
 	}
@@ -514,9 +548,9 @@
 		if s.mode == decide.Ready {
 			ready++
 		}
-		if evidence, _ := w.pattern(k, s); evidence != "" {
+		if s.found.evidence, s.found.sure = w.pattern(k, s); s.found.evidence != "" {
 			there++
-		} else if _, slow := s.slower(w.now); k == Slow && slow {
+		} else if _, slow := s.slower(); k == Slow && slow {
 			there++ // a fleet that is slow has no peers to stand out from
 		}
 	}
@@ -530,7 +564,7 @@
 	for _, s := range w.order {
 		evidence, sure := "", 0.0
 		if !taken {
-			evidence, sure = w.pattern(k, s)
+			evidence, sure = s.found.evidence, s.found.sure
 		}
 		out = w.settle(s, k, evidence, sure, out)
 	}
--- /dev/null
+++ b/internal/watch/bench_test.go
@@ -0,0 +1,114 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/report"
+	"capersail/internal/store"
+	"capersail/internal/tap"
+	"capersail/internal/timeline"
+)
+
+// BenchmarkFold is what it costs to fold a record into its line and to look for departures, over 200 servers, and the
+// memory that their lines hold.
+func BenchmarkFold(b *testing.B) {
+	const servers = 200
+	clock := memory.NewSetClock()
+	x := memory.NewExchange(&memory.Site{}, clock, nil)
+	w := New(Config{Buffer: 1 << 15, Limits: timeline.Default(), Most: servers}, x, zerolog.Nop())
+	var list []memory.Listed
+	for i := range servers {
+		list = append(list, memory.Listed{ID: fmt.Sprint("s", i), Mode: decide.Ready})
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	x.Members(decide.Whole, list)
+	w.Fold()
+	now, n := clock.Now(), 0
+	for b.Loop() { // a second of each server's life: three connections and a probe
+		for i := range servers {
+			for k := range 3 {
+				at := now + float64(k)*300
+				x.Tap.Put(&tap.Record{At: at, Kind: tap.Place, Server: int32(i)})
+				x.Tap.Put(&tap.Record{At: at + 3, Kind: tap.Up, Server: int32(i), Took: 3})
+				x.Tap.Put(&tap.Record{At: at + 200, Kind: tap.End, Server: int32(i), By: tap.Client, Status: decide.Cancelled, WasUp: true})
+			}
+			x.Tap.Put(&tap.Record{At: now, Kind: tap.Probe, Server: int32(i), Load: 0.4, Took: 0.4})
+		}
+		n += servers * 10
+		now += 1000
+		clock.Set(now)
+		w.Fold()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n), "ns/record")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/servers/1024, "KB/server")
+	runtime.KeepAlive(w)
+}
+
+// BenchmarkQuery reads 24 h of 200 servers from a store, as the daemon would have written them, and one server of them.
+func BenchmarkQuery(b *testing.B) {
+	const servers, rows = 200, 24 * 360
+	path := filepath.Join(b.TempDir(), "t.db")
+	s, err := store.Open(path, store.Options{MaxQueue: 1 << 22}, zerolog.Nop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { s.Run(ctx); close(ended) }()
+	for r := range rows {
+		at := 1.8e12 + float64(r)*rowWidth
+		for i := range servers {
+			text, _ := cbor.Marshal(timeline.Step{From: at, Width: rowWidth, Places: 3, Ups: 3, Probes: 8, Readings: 8, Load: [3]float32{0.1, 0.4, 0.7}, Setup: [3]float32{3, 9, 12}})
+			s.Append(bucketSteps, int64(at), fmt.Sprint("s-", i), text)
+		}
+		if r%300 == 299 {
+			s.Flush()
+		}
+	}
+	s.Flush()
+	stop()
+	<-ended
+	info, err := os.Stat(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if s, err = store.Open(path, store.Options{ReadOnly: true}, zerolog.Nop()); err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	read := func(q report.Query, want int) float64 {
+		began := time.Now()
+		r, err := FromStore(s, q)
+		if err != nil || len(r.Servers) != want {
+			b.Fatal(err, len(r.Servers))
+		}
+		return time.Since(began).Seconds()
+	}
+	var all, one, hour float64
+	n := 0.0
+	for b.Loop() {
+		all += read(report.Query{}, servers)
+		one += read(report.Query{Servers: []string{"s-7"}}, 1)
+		hour += read(report.Query{From: 1.8e12, To: 1.8e12 + 3.6e6}, servers)
+		n++
+	}
+	b.ReportMetric(all/n, "s/all")
+	b.ReportMetric(one/n, "s/one-server")
+	b.ReportMetric(hour/n, "s/one-hour")
+	b.ReportMetric(float64(info.Size())/servers/24, "bytes/server/hour")
+}
