Say on the XMPP front, too, that it was the server that ended a stream

Need: found on the platform's front: a server's end was taken for a client that leaves, as closing the client makes its goroutine speak first. The XMPP front closes in the same order. Change: lost() says Call.Broken first. Tests of both fronts and of the Exchange pass under the race detector; the records' attribution on XMPP has no test of its own yet.

--- a/internal/wire/xmpp/server.go
+++ b/internal/wire/xmpp/server.go
@@ -290,6 +290,7 @@
 // lost ends a stream whose server is gone, silent or done. What the server has not confirmed, and what is
 // still queued, comes back to the client as errors: never lost without a word, never sent twice.
 func (at *attempt) lost(condition string, status decide.Status) decide.Status {
+	at.c.Broken() // before the client is told: its goroutine then says that it has left
 	back := at.unconfirmed
 	if status == decide.OK || status == decide.Cancelled { // it ended its stream in order, after what it had read
 		back = nil
