One crowd of viewers and one rolling drain for the test and the measurement

Cause: TestMovedStreamsLoseNothing and BenchmarkGap had the same set-up and drain twice. Change: fleet.crowd, fleet.current and fleet.drainAll; checks are as strict as before. No line of the program changes.

--- a/cmd/capersail/resume_bench_test.go
+++ b/cmd/capersail/resume_bench_test.go
@@ -33,23 +33,9 @@
 			relays = append(relays, f.start(i, 3))
 		}
 		f.wait("claim service", f.claims)
-		ctx, stop := context.WithCancel(b.Context())
-		var all sync.WaitGroup
-		var viewers []*standin.Viewer
-		for i := range 200 {
-			v := &standin.Viewer{Name: fmt.Sprint("v", i), Fields: fmt.Sprintf("%x c=map-stream,t=acme", i+1), Wait: 3 * time.Second,
-				Token: i%2 == 0, Say: 500 * time.Millisecond, Relay: f.any}
-			viewers = append(viewers, v)
-			all.Go(func() { v.Run(ctx) })
-		}
-		current := func() {
-			newest := f.feed.Newest() + 3 // what nobody can have yet
-			for _, v := range viewers {
-				f.wait("served", func() bool { return v.Tally().Last >= newest && (!v.Token || v.Held() != "") })
-			}
-		}
+		viewers, stop := f.crowd(200, func(i int) bool { return i%2 == 0 })
 		collect := func(what string) {
-			current()
+			f.current(viewers)
 			for _, with := range []bool{true, false} {
 				var gaps []time.Duration
 				lost := uint64(0)
@@ -65,14 +51,8 @@
 				v.Forget()
 			}
 		}
-		current()
-		for _, s := range f.servers {
-			f.list.Set(s.ID, s.Address, "Terminating")
-			s.Refuse(true)
-			f.wait("drained", func() bool { return s.SendAway(3) == 0 })
-			s.Refuse(false)
-			f.list.Set(s.ID, s.Address, "Ready")
-		}
+		f.current(viewers)
+		f.drainAll()
 		collect("all servers drained in turn")
 		f.servers[0].Kill()
 		f.list.Set("s0", f.servers[0].Address, "Gone")
@@ -85,7 +65,6 @@
 		f.cmds[relays[2]].Process.Kill()
 		collect("a relay killed")
 		stop()
-		all.Wait()
 		for _, bad := range f.ledger.Bad() {
 			b.Error(bad)
 		}
--- a/cmd/capersail/resume_test.go
+++ b/cmd/capersail/resume_test.go
@@ -173,40 +173,57 @@
 	return n >= len(f.cmds)
 }
 
-// Streams of numbered scans through a rolling drain of all servers, a kill, a silence, a relay that is killed
-// and one that leaves: nothing is lost or out of turn, never do two servers serve one stream, and each opening
-// gets one answer.
-func TestMovedStreamsLoseNothing(t *testing.T) {
-	const streams = 200
-	f := newFleet(t, 6, "")
-	var relays []string
-	for i := range 3 {
-		relays = append(relays, f.start(i, 3))
-	}
-	f.wait("claim service", f.claims)
-	ctx, stop := context.WithCancel(t.Context())
+// crowd starts viewers, those with a token that are wanted to have one. stop ends them all.
+func (f *fleet) crowd(n int, token func(i int) bool) (viewers []*standin.Viewer, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
-	var viewers []*standin.Viewer
-	for i := range streams {
+	for i := range n {
 		v := &standin.Viewer{Name: fmt.Sprint("v", i), Fields: fmt.Sprintf("%x c=map-stream,t=acme", i+1), Wait: 3 * time.Second,
-			Token: true, Say: 500 * time.Millisecond, Relay: f.any}
+			Token: token(i), Say: 500 * time.Millisecond, Relay: f.any}
 		viewers = append(viewers, v)
 		all.Go(func() { v.Run(ctx) })
 	}
-	current := func() { // every stream has come past what is newest now
-		newest := f.feed.Newest() + 3 // what nobody can have yet
-		for _, v := range viewers {
-			f.wait("every stream is served", func() bool { return v.Tally().Last >= newest && v.Held() != "" })
-		}
+	stop = func() { cancel(); all.Wait() }
+	f.t.Cleanup(stop)
+	return viewers, stop
+}
+
+// current waits until every viewer has come past what is newest now.
+func (f *fleet) current(viewers []*standin.Viewer) {
+	f.t.Helper()
+	newest := f.feed.Newest() + 3 // what nobody can have yet
+	for _, v := range viewers {
+		f.wait("every stream is served", func() bool { return v.Tally().Last >= newest && (!v.Token || v.Held() != "") })
 	}
-	current()
-	for _, s := range f.servers { // one after the other drains and comes back
+}
+
+// drainAll drains the servers one after the other; each comes back.
+func (f *fleet) drainAll() {
+	f.t.Helper()
+	for _, s := range f.servers {
 		f.list.Set(s.ID, s.Address, "Terminating")
 		s.Refuse(true)
 		f.wait("drained", func() bool { return s.SendAway(3) == 0 })
 		s.Refuse(false)
 		f.list.Set(s.ID, s.Address, "Ready")
 	}
+}
+
+// Streams of numbered scans through a rolling drain of all servers, a kill, a silence, a relay that is killed
+// and one that leaves: nothing is lost or out of turn, never do two servers serve one stream, and each opening
+// gets one answer.
+func TestMovedStreamsLoseNothing(t *testing.T) {
+	const streams = 200
+	f := newFleet(t, 6, "")
+	var relays []string
+	for i := range 3 {
+		relays = append(relays, f.start(i, 3))
+	}
+	f.wait("claim service", f.claims)
+	viewers, stop := f.crowd(streams, func(int) bool { return true })
+	current := func() { f.current(viewers) }
+	current()
+	f.drainAll()
 	current()
 	f.servers[0].Kill()
 	f.list.Set("s0", f.servers[0].Address, "Gone")
@@ -224,7 +241,6 @@
 	}
 	current()
 	stop()
-	all.Wait()
 	moves, breaks, busy := 0, 0, 0
 	for _, v := range viewers {
 		k := v.Tally()
