Call discovery in turns that stretch with the number of relays

Cause: members(), a spread of AskWithin/8 = 1.25 s and a back-off from 0.5 s whatever the number of relays. Ruled out: an outage of discovery (it served calls at its usual pace until the queue was long, and again once the back-offs had grown), and the client's own time limits (4 s; the answer was a 503).

Change: turns() is the time that all relays' calls take, AskWithin/100 a relay and at most three quarters of AskWithin; first calls and back-offs are spread over it. Few relays keep their old spread. Many Balancers against servers, clients and discovery in memory: decide/fleet_test.go; TestVastCallsDiscoveryInTurns fails without the change (537 of 555 calls).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	groupLoad     = 0.6                     // a group goes to its next backend beyond this
 	stillFor      = 2                       // probes in a row that a silent backend leaves unanswered
 	errorHold     = 4 * time.Second         // an erring backend is left out for up to this, doubling
+	callsAWhile   = 100                     // calls that discovery surely works through in AskWithin
 )
 
 const ( // kinds of timer, in the low bits of a token
@@ -92,12 +93,13 @@
 func (b *Balancer) members(e Members) {
 	if e.Kind == Failed {
 		b.asked++
-		b.wake(wakeDiscovery, 0, b.jittered(b.set.Tick*100, b.asked, b.set.Rules.AskWithin/2))
+		least := max(b.set.Tick*100, b.turns())
+		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(b.set.Rules.AskWithin/2, least)))
 		return
 	}
 	if e.Kind == Cached {
 		if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
-			b.wake(wakeDiscovery, 0, time.Duration(b.jitter*float64(b.set.Rules.AskWithin/8)))
+			b.wake(wakeDiscovery, 0, time.Duration(b.jitter*float64(max(b.set.Rules.AskWithin/8, b.turns()))))
 		}
 	} else { // any list is an answer
 		b.asked = 0
@@ -115,6 +117,12 @@
 	}
 }
 
+// turns is how long all relays take to call discovery, one after the other. It works through calls in turn,
+// those given up too, so calls that come faster are answered 503 for as long as they keep coming.
+func (b *Balancer) turns() time.Duration {
+	return min(b.set.Rules.AskWithin/callsAWhile*time.Duration(b.set.Relays), b.set.Rules.AskWithin*3/4)
+}
+
 // ready places a request at once if the pool is fresh; else the pool is topped up first.
 func (b *Balancer) ready(r *request) {
 	r.need = 0
