Ask for a better place before moving; draw what other relays may have placed

Causes: look() and best() choose from the pool, and the pool of a relay that holds one connection is that server alone, so it never moved; rate() took one request in ten seconds for as many as fit the window, 53 a second over 80 relays where 4 came, so admit() and coldBudget() refused most; and all relays that ask between two reports pick the server that read least.

Change: a look that wants to move asks first (ask, shift); rate() counts one request for the usual time between two; best() adds a draw of what others may have placed since the reading; the wait for probes follows their round trip after a few answers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	wakeRequest = iota // a held request: its probes or its back-off are due
 	wakeWatch          // look at the backends that hold our connections
 	wakeDiscovery
+	wakeShift // a backend's connections are to go, and a better place has been asked for
 	wakeKinds
 )
 
@@ -125,15 +126,19 @@
 
 // ready places a request at once if the pool is fresh; else the pool is topped up first.
 func (b *Balancer) ready(r *request) {
-	r.need = 0
+	r.need = b.ask(r.Group)
+	b.holdOrPlace(r)
+}
+
+// ask tops up the pool for a connection of a group, or of none, and returns how many answers will come.
+func (b *Balancer) ask(group uint64) int {
 	switch {
 	case !b.set.Probes:
-	case r.Group != 0:
-		r.need = b.topUp(b.circle(r.Group), probesPerPick, false)
-	default:
-		r.need = b.topUp(b.zones[b.set.Zone], probesPerPick-b.fresh(), true)
+		return 0
+	case group != 0:
+		return b.topUp(b.circle(group), probesPerPick, false)
 	}
-	b.holdOrPlace(r)
+	return b.topUp(b.zones[b.set.Zone], probesPerPick-b.fresh(), true)
 }
 
 func (b *Balancer) holdOrPlace(r *request) {
@@ -225,7 +230,7 @@
 		if s.silent, s.mute = 0, 0; s.errs == 0 || b.now >= s.badTill {
 			s.bad = false
 		}
-		b.probeRTT = max(e.Took, b.probeRTT-b.probeRTT/16)
+		b.probeRTT = max(e.Took, b.probeRTT-b.probeRTT/4)
 		b.read(s, e)
 	case e.Status == Full || e.Status == Moot: // too many probes; it says nothing of its health
 	default:
@@ -322,6 +327,7 @@
 	if grouped { // never to another in the pool: a group that spreads in an overload makes it worse
 		from, start = b.circle(r.Group), 0
 	}
+	others := b.coming() * max(b.perConn, b.supposed()) / float64(max(b.listed(), 1))
 	pick, least := Backend(-1), math.Inf(1)
 	for i := range from { // from a random place on, so that ties break at random
 		id := from[(start+i)%len(from)]
@@ -329,7 +335,7 @@
 		if s.readAt < 0 || !b.allowed(r, id, s) {
 			continue
 		}
-		load := b.estimate(s)
+		load := b.estimate(s) + others*b.rng.ExpFloat64()
 		if grouped && load < groupLoad {
 			return id, 0
 		}
@@ -372,7 +378,7 @@
 		life := max(b.set.Rules.Cold.Seconds(), float64(b.held)*(b.now-b.began).Seconds()/(b.arrived+1))
 		budget = coldShare * b.set.Rules.FallMultiple * b.warmth(s) / b.perConn / life
 	}
-	met := max(b.rate(), 1/b.set.Rules.FallFor.Seconds()) * min(1, probesPerPick/float64(len(b.zones[s.Zone])))
+	met := b.rate() * min(1, probesPerPick/float64(len(b.zones[s.Zone])))
 	return b.rng.Float64()*met*float64(b.set.Relays) < budget
 }
 
@@ -429,10 +435,12 @@
 		}
 	}
 	share := float64(roomy) / float64(len(b.pool)) * float64(len(b.fleet)) // backends that have room
-	coming := b.rate() * float64(b.set.Relays) * reportLag.Seconds()
-	return b.rng.Float64()*coming*b.perConn < (fullLoad-b.estimate(s))*share
+	return b.rng.Float64()*b.coming()*b.perConn < (fullLoad-b.estimate(s))*share
 }
 
+// coming is how many requests come to all relays while a reading cannot tell of them.
+func (b *Balancer) coming() float64 { return b.rate() * float64(b.set.Relays) * reportLag.Seconds() }
+
 // anyone is the gentle fallback when no reading is left: a backend at random, first at home and well,
 // then anywhere and well, then any warm one; so many draws would overspend a cold one's budget.
 func (b *Balancer) anyone(r *request) Backend {
@@ -587,6 +595,10 @@
 		b.watch()
 	case wakeDiscovery:
 		b.do(Subscribe{})
+	case wakeShift:
+		if s := &b.fleet[id]; s.excess > 0 {
+			b.shift(Backend(id), s)
+		}
 	}
 }
 
@@ -616,13 +628,31 @@
 	default:
 		return
 	}
-	n := int(part*float64(len(s.held)) + b.rng.Float64()) // so many of them, drawn at random
+	// So many of them, drawn at random. A relay that holds few sees few others: it asks before it moves.
+	if s.excess = int(part*float64(len(s.held)) + b.rng.Float64()); s.excess == 0 {
+		return
+	}
+	if r := b.reqs[s.held[0]]; r != nil && b.ask(r.Group) > 0 {
+		b.wake(wakeShift, uint64(id), min(2*b.probeRTT+2*b.set.Tick, freshFor/4))
+		return
+	}
+	b.shift(id, s)
+}
+
+// shift moves a backend's excess where there is a better place.
+func (b *Balancer) shift(id Backend, s *server) {
+	n := s.excess
+	s.excess = 0
 	for i, held := range s.held {
-		pick, _ := b.best(&request{ranOn: -1})
+		r := b.reqs[held]
+		if r == nil {
+			continue
+		}
+		pick, _ := b.best(&request{Request: Request{Group: r.Group}, ranOn: -1})
 		if pick < 0 || pick == id || b.estimate(&b.fleet[pick]) > easeLoad {
 			return
 		}
-		if r := b.reqs[held]; r != nil && r.phase == open && b.rng.Float64()*float64(len(s.held)-i) < float64(n) {
+		if r.phase == open && b.rng.Float64()*float64(len(s.held)-i) < float64(n) {
 			n--
 			b.do(Move{ID: held})
 			r.phase = done
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -55,6 +55,7 @@
 	can     float64 // work a second, once warm
 	cap     int     // connections it holds, those of probes too; 0 for any number
 	state   string  // "" well, "dead", "silent", "errs"
+	born    time.Duration
 	held    map[*client]bool
 	probing map[*station]time.Duration // connections kept for probes, until when
 	sent    []time.Duration
@@ -116,6 +117,7 @@
 		set.Tenants[i].Quota = float64(conns) / part * quotaOfAll / 2
 	}
 	v := &vast{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, jobs: map[RequestID]*client{}, counts: map[string]int{},
+		now:  time.Hour, // long ago is the beginning of the clock
 		life: 40 * time.Second, load: part * float64(hosts) / float64(conns), groups: max(2, conns/15),
 		lister: lister{each: 70 * ms, patience: time.Second}}
 	for i := range hosts {
@@ -124,14 +126,13 @@
 	for i := range relays {
 		v.relays = append(v.relays, &station{me: i, zone: Zone(i % 3)})
 	}
-	v.after(0, v.step)
 	return v
 }
 
 func (v *vast) addHost(zone Zone, since time.Duration) *host {
 	id := Backend(len(v.hosts))
 	h := &host{Entry: Entry{Backend: id, Mode: Ready, Zone: zone, Cell: int32(zone), Spot: (uint64(id) + 1) * 0x9e3779b97f4a7c15, Since: since},
-		can: 1, held: map[*client]bool{}, probing: map[*station]time.Duration{}}
+		can: 1, born: v.now, held: map[*client]bool{}, probing: map[*station]time.Duration{}}
 	v.hosts = append(v.hosts, h)
 	v.lister.list = append(v.lister.list, h.Entry)
 	return h
@@ -294,15 +295,11 @@
 	case h.state == "silent":
 		ev.Status, ev.Took = TimedOut, 200*ms
 	case ev.Status == OK:
-		i := int((v.now-vastDelay)/vastReport*vastReport/vastStep) - 1
-		if h.Since == 0 { // its past begins with the fleet's
-			i = max(i, 0)
-		} else {
-			i -= int(h.Since / vastStep)
-		}
-		ev.Report.Load = 0
-		if i >= 0 && i < len(h.past) {
+		at := (v.now - vastDelay) / vastReport * vastReport
+		if i := int((at - h.born) / vastStep); at >= h.born && i < len(h.past) {
 			ev.Report.Load = h.past[i]
+		} else if h.Since > 0 { // a new one has had nothing
+			ev.Report.Load = 0
 		}
 	}
 	v.later(r, ev.Took, ev)
@@ -410,13 +407,14 @@
 	v.in(r, r.life, c.req)
 }
 
-// openAll puts connections on servers as they stood before the fleet's day, the same number through each relay.
-func (v *vast) openAll(n int) {
+// openAll puts connections on the first servers as they stood before the fleet's day, evenly through all relays.
+func (v *vast) openAll(n, hosts int) {
 	for i := range n {
-		r, h := v.relays[i%len(v.relays)], v.hosts[v.rng.IntN(len(v.hosts))]
+		group := 1 + v.rng.IntN(v.groups) // each on two servers
+		r, h := v.relays[i%len(v.relays)], v.hosts[(2*group+i%2)%hosts]
 		v.lastID++
 		c := &client{relay: r, at: h, ends: v.now + time.Duration(v.rng.ExpFloat64()*float64(v.life)),
-			req: Request{ID: v.lastID, Key: v.rng.Uint64() | 1, Left: time.Hour, Group: 1 + uint64(v.rng.IntN(v.groups))}}
+			req: Request{ID: v.lastID, Key: v.rng.Uint64() | 1, Left: time.Hour, Group: uint64(group)}}
 		v.jobs[c.req.ID], h.held[c] = c, true
 		v.in(r, r.life, Inherited{Request: c.req, Backend: h.Backend})
 		c.req.Left = 2 * time.Second
@@ -500,12 +498,11 @@
 // started is a fleet whose relays all start at once, with the list as it is.
 func started(t *testing.T, seed uint64, relays, hosts, conns int, part float64) *vast {
 	v := newVast(t, seed, relays, hosts, conns, part)
-	v.now = time.Hour // long ago is the beginning of the clock
-	v.due[0].at = v.now
+	v.after(0, v.step)
 	for _, r := range v.relays {
 		v.start(r, slices.Clone(v.lister.list))
 	}
-	v.openAll(conns)
+	v.openAll(conns, hosts)
 	v.arrivals(float64(conns)/v.life.Seconds(), v.now+time.Hour)
 	return v
 }
@@ -543,3 +540,54 @@
 		}
 	}
 }
+
+// A relay among 80 that gets a request in 20 s must not take it for the 53 a second that all would get if one
+// in 1.5 s came to each: half of them were refused at a fleet that stood at half its load.
+func TestVastCalmDayRefusesFew(t *testing.T) {
+	asks, refused := 0, 0
+	for seed := range uint64(4) {
+		v := started(t, seed, 80, 12, 100, 0.6)
+		v.run(v.now + 20*time.Second)
+		asks += v.counts["asks"]
+		refused += v.counts["refused: no room"]
+	}
+	if refused > asks/6 {
+		t.Errorf("%d of %d refused", refused, asks)
+	}
+}
+
+// Requests that reach many relays between two reports must not all meet on the server that read least.
+func TestVastRelaysDoNotAllPickTheLeastLoaded(t *testing.T) {
+	loads, on := map[Backend]float64{0: 0.2, 1: 0.25, 2: 0.25, 3: 0.25}, map[Backend]int{}
+	for relay := range 80 {
+		set := settings()
+		set.Relays, set.Me, set.Prices.CrossZone = 80, relay, 1
+		set.Tenants[0].Quota = 100
+		r := newRelay(t, set, uint64(relay), 4)
+		r.pass(4 * time.Second) // the last request came 4 s ago
+		on[r.place(ask(1), loads)]++
+	}
+	if on[0] > 80*6/10 {
+		t.Errorf("%d of 80 on the least loaded of four: %v", on[0], on)
+	}
+}
+
+// A relay among 80 that holds one connection probes nobody but its server. It must ask for a better place, or
+// the connections on an overdriven server stay for good while others stand idle.
+func TestVastRelaysMoveOffAnOverdrivenServer(t *testing.T) {
+	for seed := range uint64(4) {
+		v := newVast(t, seed, 80, 12, 72, 0.5)
+		v.after(0, v.step)
+		v.life = time.Hour
+		for _, r := range v.relays {
+			v.start(r, slices.Clone(v.lister.list))
+		}
+		v.openAll(72, 4)
+		v.run(v.now + 8*time.Second)
+		v.hot, v.served = 0, 0
+		v.run(v.now + 4*time.Second)
+		if hot := v.hot.Seconds() / v.served.Seconds(); hot > 0.1 {
+			t.Errorf("seed %d: %.2f of the time on overdriven servers, 8 s after: %v", seed, hot, v)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,6 +51,7 @@
 	errs      int           // failures in a row
 	silent    int           // probes in a row that brought no reading
 	mute      int           // and no answer at all
+	excess    int           // own connections that are to move from here
 	coldAt    time.Duration // start of its warm-up, -1 if warm
 }
 
@@ -258,10 +259,13 @@
 	b.setupAt = (b.setupAt + 1) % setupsKept
 }
 
-// rate is how many requests a second came here of late, over the window of rule 4.
+// rate is how many requests a second come here now: those of late, over the window of rule 4, and one that
+// counts for the time in which one comes at this relay's usual rate. Where a relay gets a request in ten seconds,
+// the one that it just got would else stand for as many as the window has room for.
 func (b *Balancer) rate() float64 {
 	window := b.set.Rules.FallFor.Seconds()
 	b.recent *= math.Exp(-(b.now - b.recentAt).Seconds() / window)
 	b.recentAt = b.now
-	return b.recent / window
+	usual := ((b.now - b.began).Seconds() + window) / max(b.arrived, 1) // from one to the next
+	return (1 + b.recent) / (usual + window)
 }
