Take a connection for what the quotas say where a relay has seen none

Cause: admit() lets everything through where perConn is 0, and coldBudget() falls back to a rate. perConn is 0 at a relay that holds nothing: its own connections times the relays are what it takes the fleet to hold. 56 relays that have just started hold nothing, and most of 80 hold one or none.

Change: adds() is the greater of what was seen and what the tenants' quotas make of it, and all three places use it. TestVastRelaysThatHoldNothingLeaveRoom: 80 of 80 sent without the change, about half with it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -307,12 +307,16 @@
 	return quotaOfAll * float64(b.most) / b.quota
 }
 
+// adds is what one more connection is taken to add. A relay that holds few has seen few: one that had just
+// started took them for nothing, and what room there was for endless.
+func (b *Balancer) adds() float64 { return max(b.perConn, b.supposed()) }
+
 // lateness is the part of messages that come late at a load; what crossing zones costs is weighed against it.
 func lateness(load float64) float64 { return math.Pow(load, lateExponent) }
 
 // estimate is a backend's load now: its reading and what this relay has added since.
 func (b *Balancer) estimate(s *server) float64 {
-	load := max(s.load+float64(len(s.placed)-len(s.left))*max(b.perConn, b.supposed()), 0)
+	load := max(s.load+float64(len(s.placed)-len(s.left))*b.adds(), 0)
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
@@ -327,7 +331,7 @@
 	if grouped { // never to another in the pool: a group that spreads in an overload makes it worse
 		from, start = b.circle(r.Group), 0
 	}
-	others := b.coming() * max(b.perConn, b.supposed()) / float64(max(b.listed(), 1))
+	others := b.coming() * b.adds() / float64(max(b.listed(), 1))
 	pick, least := Backend(-1), math.Inf(1)
 	for i := range from { // from a random place on, so that ties break at random
 		id := from[(start+i)%len(from)]
@@ -374,9 +378,9 @@
 // a surge keeps within it. A warm backend holds 1/perConn connections and turns them over in a mean life.
 func (b *Balancer) coldBudget(s *server) bool {
 	budget := coldShare / b.set.Rules.FallFor.Seconds()
-	if b.perConn > 0 {
+	if adds := b.adds(); adds > 0 {
 		life := max(b.set.Rules.Cold.Seconds(), float64(b.held)*(b.now-b.began).Seconds()/(b.arrived+1))
-		budget = coldShare * b.set.Rules.FallMultiple * b.warmth(s) / b.perConn / life
+		budget = coldShare * b.set.Rules.FallMultiple * b.warmth(s) / adds / life
 	}
 	met := b.rate() * min(1, probesPerPick/float64(len(b.zones[s.Zone])))
 	return b.rng.Float64()*met*float64(b.set.Relays) < budget
@@ -425,7 +429,7 @@
 // room at the same time and none sees the others' sends until the next report; so each takes no more of
 // what comes to it than fills that room if the others do as it does.
 func (b *Balancer) admit(s *server) bool {
-	if s.readAt < 0 || b.perConn <= 0 {
+	if s.readAt < 0 || b.adds() <= 0 {
 		return true
 	}
 	roomy := 0
@@ -435,7 +439,7 @@
 		}
 	}
 	share := float64(roomy) / float64(len(b.pool)) * float64(len(b.fleet)) // backends that have room
-	return b.rng.Float64()*b.coming()*b.perConn < (fullLoad-b.estimate(s))*share
+	return b.rng.Float64()*b.coming()*b.adds() < (fullLoad-b.estimate(s))*share
 }
 
 // coming is how many requests come to all relays while a reading cannot tell of them.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -591,3 +591,24 @@
 		}
 	}
 }
+
+// Relays that have just started and hold nothing have never seen what a connection adds, and took it for nothing:
+// where there was room for 19 more, each of 80 sent its first. What each takes the others to send in the time of a
+// report, 37, leaves it a chance of one half.
+func TestVastRelaysThatHoldNothingLeaveRoom(t *testing.T) {
+	sent := 0
+	for relay := range 80 {
+		set := settings()
+		set.Relays, set.Me = 80, relay
+		set.Tenants[0].Quota = 100 // that is 0.032 of a backend for each
+		r := newRelay(t, set, uint64(relay), 4)
+		acts := r.do(ask(1))
+		for _, p := range all[Probe](acts) {
+			acts = append(acts, r.do(Probed{Backend: p.Backend, Took: 2 * ms, Report: Report{Load: 0.6, Inflight: -1, Errors: -1, Busy: -1}})...)
+		}
+		sent += len(all[Send](acts))
+	}
+	if sent < 20 || sent > 55 {
+		t.Errorf("80 relays sent %d of their first 80 requests on, to room for 19", sent)
+	}
+}
