--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -20,12 +20,17 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int
-	Known     *discovery.List
-	Site      *memory.Site
-	settings  string // as the file has them, to tell whether a new file changes them
+	// Admin is the operators' second address, "" where it is off: `admin` of the file, or $LB_ADMIN.
+	Admin string
+	// FD is the descriptor of a listening socket that the platform holds for the clients' address and hands to
+	// every process of the relay ($LB_FD), or -1 where the relay binds the address itself.
+	FD       int
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Known    *discovery.List
+	Site     *memory.Site
+	settings string // as the file has them, to tell whether a new file changes them
 }
 
 // ReadConfig reads the platform's configuration: the file that LB_CONFIG names, and the variables that
@@ -53,12 +58,20 @@
 		return getenv(variable)
 	}
 	c := &Config{Name: read("name", "LB_NAME"), Listen: read("listen", "LB_LISTEN"), Discovery: read("discovery", "LB_DISCOVERY"),
-		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets")}
-	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		Admin: read("admin", "LB_ADMIN"), FD: -1, MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets")}
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin", c.Admin}} {
+		if a.value == "" && a.key == "admin" {
+			continue // off
+		}
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
+	if fd := getenv("LB_FD"); fd != "" {
+		if c.FD, err = strconv.Atoi(fd); err != nil || c.FD < 0 {
+			return nil, fmt.Errorf("LB_FD: %q is not a descriptor", fd)
+		}
+	}
 	if seed := string(v.GetStringBytes("seed")); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", seed)
