Add the operators' second address: readiness, figures, drain and bans by hand

Figures by a client_golang collector read from the exchange at scrape time. To the module a banned server drains. TestSecondAddress drives it all on the program.

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -78,3 +80,87 @@
 		}
 	}
 }
+
+// call makes one call to the second address and returns its status and body.
+func call(t *testing.T, method, url string) (int, string) {
+	t.Helper()
+	req, _ := http.NewRequestWithContext(t.Context(), method, url, nil)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(body)
+}
+
+// freeAddress is a loopback address that nobody listens on just now.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// The second address: readiness, a drain by hand and its end, a tile server out by hand and back, the figures.
+func TestSecondAddress(t *testing.T) {
+	d, s := stage(t, "s1")
+	ops := "http://" + freeAddress(t)
+	cmd := program(t, configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = "127.0.0.1:0", d.Address
+		c["known"] = json.RawMessage(d.Whole())
+	}))
+	cmd.Env = append(cmd.Env, "LB_ADMIN="+strings.TrimPrefix(ops, "http://"), "TMPDIR="+t.TempDir())
+	cmd, address, _ := startCmd(t, cmd)
+	defer cmd.Process.Kill()
+	for i := 0; ; i++ { // it listens there just after the clients' address
+		if code, _ := call(t, "GET", ops+"/ops/readiness"); code == 200 {
+			break
+		}
+		if i > 500 {
+			t.Fatal("never ready")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c := dial(t, address)
+	c.ask(t, open, "UP")
+	<-s.Firsts
+
+	if code, _ := call(t, "POST", ops+"/ops/drain/start"); code != 200 {
+		t.Fatalf("drain: %d", code)
+	}
+	if code, _ := call(t, "GET", ops+"/ops/readiness"); code < 400 {
+		t.Errorf("ready while draining: %d", code)
+	}
+	dial(t, address).ask(t, "PING", "BUSY")
+	if got, _ := c.in.ReadString('\n'); strings.TrimSpace(got) != "MOVE" {
+		t.Errorf("in a drain the client was told %q", got)
+	}
+	call(t, "POST", ops+"/ops/drain/stop")
+	if code, _ := call(t, "GET", ops+"/ops/readiness"); code != 200 {
+		t.Errorf("not ready after the drain: %d", code)
+	}
+	dial(t, address).ask(t, "PING", "PONG")
+
+	if code, _ := call(t, "POST", ops+"/ops/tile-servers/down/nobody"); code != 404 {
+		t.Errorf("a ban of an id never listed: %d", code)
+	}
+	if code, _ := call(t, "POST", ops+"/ops/tile-servers/down/s1"); code != 200 {
+		t.Errorf("down: %d", code)
+	}
+	dial(t, address).ask(t, strings.Replace(open, "9b1f", "out", 1), "BUSY") // its only server is out
+	if _, figures := call(t, "GET", ops+"/ops/stats"); !strings.Contains(figures, "relay_cluster_unhealthy 1\n") ||
+		!strings.Contains(figures, `relay_answered{group="map-stream"} 1`+"\n") || !strings.Contains(figures, "relay_cluster_size 1\n") {
+		t.Errorf("figures:\n%s", figures)
+	}
+	if code, _ := call(t, "POST", ops+"/ops/tile-servers/up/s1"); code != 200 {
+		t.Errorf("up: %d", code)
+	}
+	dial(t, address).ask(t, strings.Replace(open, "9b1f", "back", 1), "UP")
+	if _, figures := call(t, "GET", ops+"/ops/stats"); !strings.Contains(figures, `relay_deferred{group="map-stream"} 1`+"\n") ||
+		!strings.Contains(figures, `relay_sends{group="map-stream"} 2`+"\n") || !strings.Contains(figures, "relay_current 1\n") {
+		t.Errorf("figures:\n%s", figures)
+	}
+}
--- /dev/null
+++ b/internal/admin/figures.go
@@ -0,0 +1,104 @@
+package admin
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"capersail/internal/memory"
+)
+
+// Source is one front's core as the figures read it.
+type Source interface {
+	Counts() []memory.Counts // by class number, since the process started
+	Current() int            // connections taken and not ended
+	Cluster() memory.Cluster
+}
+
+// Front is a source with the names of its classes, by number.
+type Front struct {
+	Source  Source
+	Classes []string
+	// Shunned is how many listed servers the front's module avoids of its own choice now; nil for none.
+	Shunned func() int
+}
+
+// Figures is the collector of the relay's figures. Each is read from the fronts when it is asked for: no goroutine,
+// no timer, nothing counted twice.
+//
+//	relay_answered{group}   counter  connections brought up, by class
+//	relay_deferred{group}   counter  refused, trying again being harmless
+//	relay_errored{group}    counter  failed
+//	relay_sends{group}      counter  attempts whose first line went whole to a tile server
+//	relay_current           gauge    connections taken and not ended
+//	relay_cluster_size      gauge    tile servers in the list
+//	relay_cluster_unhealthy gauge    of those, the ones the relay avoids now, by hand or by choice
+type Figures struct {
+	fronts                                 []Front
+	answered, deferred, errored, sends     *prometheus.Desc
+	current, clusterSize, clusterUnhealthy *prometheus.Desc
+}
+
+// NewFigures returns the collector of the fronts' figures.
+func NewFigures(fronts ...Front) *Figures {
+	byClass := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, []string{"group"}, nil)
+	}
+	one := func(name, help string) *prometheus.Desc { return prometheus.NewDesc(name, help, nil, nil) }
+	return &Figures{fronts: fronts,
+		answered:         byClass("relay_answered", "Connections brought up, by class, since the process started."),
+		deferred:         byClass("relay_deferred", "Connections refused with a time to come again, by class."),
+		errored:          byClass("relay_errored", "Connections failed, by class."),
+		sends:            byClass("relay_sends", "Attempts whose first line went whole to a tile server, by class."),
+		current:          one("relay_current", "Connections taken and not ended."),
+		clusterSize:      one("relay_cluster_size", "Tile servers in the list."),
+		clusterUnhealthy: one("relay_cluster_unhealthy", "Listed tile servers the relay avoids now, by hand or by choice."),
+	}
+}
+
+// Describe sends the descriptions of all figures.
+func (f *Figures) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{f.answered, f.deferred, f.errored, f.sends, f.current, f.clusterSize, f.clusterUnhealthy} {
+		ch <- d
+	}
+}
+
+// Collect reads every front. Classes of the same name in two fronts are added up.
+func (f *Figures) Collect(ch chan<- prometheus.Metric) {
+	type sums struct{ answered, deferred, errored, sends float64 }
+	byName, order := map[string]*sums{}, []string{}
+	var current, size, unhealthy float64
+	for _, fr := range f.fronts {
+		for i, c := range fr.Source.Counts() {
+			name := "unknown"
+			if i < len(fr.Classes) {
+				name = fr.Classes[i]
+			}
+			s := byName[name]
+			if s == nil {
+				s = &sums{}
+				byName[name] = s
+				order = append(order, name)
+			}
+			s.answered += float64(c.Answered)
+			s.deferred += float64(c.Deferred)
+			s.errored += float64(c.Errored)
+			s.sends += float64(c.Sends)
+		}
+		current += float64(fr.Source.Current())
+		cluster := fr.Source.Cluster()
+		size += float64(cluster.Listed)
+		unhealthy += float64(cluster.Banned)
+		if fr.Shunned != nil {
+			unhealthy += float64(fr.Shunned())
+		}
+	}
+	for _, name := range order {
+		s := byName[name]
+		ch <- prometheus.MustNewConstMetric(f.answered, prometheus.CounterValue, s.answered, name)
+		ch <- prometheus.MustNewConstMetric(f.deferred, prometheus.CounterValue, s.deferred, name)
+		ch <- prometheus.MustNewConstMetric(f.errored, prometheus.CounterValue, s.errored, name)
+		ch <- prometheus.MustNewConstMetric(f.sends, prometheus.CounterValue, s.sends, name)
+	}
+	ch <- prometheus.MustNewConstMetric(f.current, prometheus.GaugeValue, current)
+	ch <- prometheus.MustNewConstMetric(f.clusterSize, prometheus.GaugeValue, size)
+	ch <- prometheus.MustNewConstMetric(f.clusterUnhealthy, prometheus.GaugeValue, min(unhealthy, size))
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
+	"capersail/internal/admin"
 	"capersail/internal/memory"
 	"capersail/internal/wire/discovery"
 	"capersail/internal/wire/gate"
@@ -129,6 +130,13 @@
 	if err := all.start(ctx); err != nil {
 		return err
 	}
+	if c != nil && c.Admin != "" {
+		o, err := startAdmin(ctx, c.Admin, relays, []admin.Front{{Source: relays[0].x, Classes: classNames(c.Site)}}, log)
+		if err != nil {
+			return err
+		}
+		o.serving.Store(true)
+	}
 	if err := wait(ctx, relays, all, signals, failed, log); err != nil {
 		return err
 	}
@@ -182,12 +190,28 @@
 	}
 }
 
-// room is how many descriptors clients, and their connections to servers, may have.
-func room(sockets int) int {
+// room is how many descriptors clients, and their connections to servers, may have; the second address, where it
+// is on, holds some of the rest.
+func room(sockets int, second bool) int {
 	if sockets == 0 {
 		return anySockets
 	}
-	return max(sockets, leastSockets) - ownSockets - probeSockets
+	n := max(sockets, leastSockets) - ownSockets - probeSockets
+	if second {
+		n = max(n-adminSockets, leastSockets/2)
+	}
+	return n
+}
+
+// classNames are the names of the classes, by number.
+func classNames(site *memory.Site) []string {
+	names := make([]string, len(site.Settings.Classes))
+	for name, class := range site.Classes {
+		if int(class) < len(names) {
+			names[class] = name
+		}
+	}
+	return names
 }
 
 // startPlatform starts the platform's front.
@@ -203,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	door := gate.New(clock, room(c.Sockets), log)
+	door := gate.New(clock, room(c.Sockets, c.Admin != ""), log)
 	front := &platform.Front{X: x, Site: c.Site, Gate: door}
 	all.join(&seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front})
 	x.Members(decide.Cached, c.Known.Entries)
@@ -217,7 +241,7 @@
 		}
 		lister.SetAddress(n.Discovery)
 		limit(n)
-		door.SetRoom(room(n.Sockets))
+		door.SetRoom(room(n.Sockets, c.Admin != ""))
 		log.Info().Str("discovery", n.Discovery).Int("memory_mb", n.MemoryMB).Int("sockets", n.Sockets).
 			Bool("needs_restart", n.Name != c.Name || n.Listen != c.Listen || n.settings != c.settings).Msg("reloaded")
 		return nil
--- a/internal/lifecycle/xmpp.go
+++ b/internal/lifecycle/xmpp.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	door := gate.New(clock, room(o.Sockets), log)
+	door := gate.New(clock, room(o.Sockets, false), log)
 	front := &xmpp.Front{X: x, Hosts: hosts, Gate: door}
 	front.TLS.Store(secure)
 	go lister.Run(ctx)
@@ -196,7 +196,7 @@
 		}
 		lister.Move(n.ensemble())
 		front.TLS.Store(secure)
-		door.SetRoom(room(n.Sockets))
+		door.SetRoom(room(n.Sockets, false))
 		log.Info().Strs("zookeeper", n.ZooKeeper.Servers).Bool("needs_restart", n.fixed() != o.fixed()).Msg("reloaded XMPP")
 		return nil
 	}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -114,16 +114,18 @@
 	// Tap gets a record of whatever happens; nil for none. It is set before the first use.
 	Tap *tap.Tap
 
-	mu      sync.Mutex
-	site    *Site
-	roster  roster
-	calls   map[decide.RequestID]*Call
-	names   map[string]*Call // the calls that have names
-	lastID  decide.RequestID
-	inbox   []decide.Event
-	ready   chan struct{} // holds one token while the inbox has something
-	leaving bool
-	servers Servers
+	mu       sync.Mutex
+	site     *Site
+	roster   roster
+	calls    map[decide.RequestID]*Call
+	names    map[string]*Call // the calls that have names
+	lastID   decide.RequestID
+	inbox    []decide.Event
+	ready    chan struct{} // holds one token while the inbox has something
+	leaving  bool          // at SIGTERM, for good
+	draining bool          // by hand, until it is called off
+	servers  Servers
+	figures  figures
 }
 
 // Call is one request. Its fields are the Exchange's; both sides use its methods.
@@ -157,7 +159,8 @@
 
 // NewExchange returns an Exchange without calls.
 func NewExchange(site *Site, clock *Clock, servers Servers) *Exchange {
-	return &Exchange{Clock: clock, site: site, servers: servers, calls: map[decide.RequestID]*Call{}, names: map[string]*Call{},
+	return &Exchange{Clock: clock, site: site, servers: servers, figures: newFigures(len(site.Settings.Classes)),
+		calls: map[decide.RequestID]*Call{}, names: map[string]*Call{},
 		roster: roster{site: site, clock: clock, byID: map[string]*Server{}}, ready: make(chan struct{}, 1)}
 }
 
@@ -196,7 +199,7 @@
 	switch {
 	case c.double():
 		c.end(Answer{Kind: Failed})
-	case x.leaving:
+	case x.refusing():
 		c.end(x.elsewhere())
 	case a.Claim != nil && a.Claim.Wait():
 		c.state = Claiming
@@ -223,7 +226,7 @@
 	defer x.mu.Unlock()
 	c := x.enter(a, client)
 	c.resumed = true
-	if s := x.roster.byID[server]; s == nil || x.leaving || c.double() {
+	if s := x.roster.byID[server]; s == nil || x.refusing() || c.double() {
 		c.end(Answer{Kind: Failed})
 	} else {
 		c.try(s, 0)
@@ -278,6 +281,7 @@
 	}
 	c.state, c.answer = Ended, a
 	close(c.settled)
+	c.x.figures.count(c.Class, a.Kind)
 	if c.x.Tap != nil {
 		c.tapAnswer(a)
 	}
@@ -312,7 +316,7 @@
 	switch {
 	case c.state != Claiming:
 		return false
-	case c.x.leaving:
+	case c.x.refusing():
 		c.end(c.x.elsewhere())
 		return false
 	}
@@ -534,6 +538,7 @@
 		return false
 	}
 	c.begun = true
+	c.x.figures.add(c.x.figures.sends, c.Class)
 	return true
 }
 
@@ -584,6 +589,7 @@
 	}
 	c.state, c.wasUp = Up, true
 	close(c.settled)
+	c.x.figures.add(c.x.figures.answered, c.Class)
 	if c.resumed {
 		c.x.post(decide.Inherited{Request: c.request(), Backend: c.attempt.Server.Number})
 	} else {
@@ -594,7 +600,7 @@
 		c.x.Tap.Put(&tap.Record{At: c.x.Clock.Now(), Kind: tap.Up, Request: uint64(c.ID), Server: int32(c.attempt.Server.Number),
 			Took: c.x.Clock.Now() - c.attempt.SentAt, Attempt: uint8(min(no, 255))})
 	}
-	if c.x.leaving {
+	if c.x.refusing() {
 		c.move(tap.Leaving)
 	}
 	return c.client
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -41,12 +41,16 @@
 	Address string
 	Load    float64 // as the list told it last, negative if it does not
 	Resumes bool
-	mode    decide.Mode
-	notedAt float64 // when the module was last told of a slow message there
-	now     *Server // the roster's own, of which an attempt holds a copy
+	mode    decide.Mode // as the module is told: a server out by hand drains
+	listed  decide.Mode // as the list has it
+	banned  bool        // out by hand
+	notedAt float64     // when the module was last told of a slow message there
+	now     *Server     // the roster's own, of which an attempt holds a copy
 
 	started   float64 // Unix ms, as the list has it
-	told      bool    // the tap knows mode and start
+	zone      string
+	cell      int32
+	told      bool // the tap knows mode and start
 	toldMode  decide.Mode
 	toldStart float64
 }
@@ -56,30 +60,45 @@
 	site    *Site
 	clock   *Clock
 	byID    map[string]*Server
-	servers []*Server // by number; a server keeps its number for this relay's life
+	servers []*Server       // by number; a server keeps its number for this relay's life
+	out     map[string]bool // the ids of servers that are out by hand
 }
 
 // take writes a list into the roster and returns it in the module's numbers.
 func (r *roster) take(kind decide.ListKind, list []Listed) decide.Members {
 	if kind != decide.Delta && kind != decide.Failed { // who is not in a whole list is gone
 		for _, s := range r.servers {
-			s.mode = decide.GoneMode
+			s.mode, s.listed = decide.GoneMode, decide.GoneMode
 		}
 	}
 	m := decide.Members{Kind: kind}
 	for _, l := range list {
 		s := r.byID[l.ID]
 		if s == nil {
-			s = &Server{Number: decide.Backend(len(r.servers)), ID: l.ID}
+			s = &Server{Number: decide.Backend(len(r.servers)), ID: l.ID, banned: r.out[l.ID]}
 			r.byID[l.ID] = s
 			r.servers = append(r.servers, s)
 		}
-		s.mode, s.Load, s.Resumes, s.started = l.Mode, l.Load, l.Resumes, l.Started
+		s.listed, s.Load, s.Resumes, s.started, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Started, l.Zone, l.Cell
+		s.mode = s.effective()
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
 		}
-		m.Entries = append(m.Entries, decide.Entry{Backend: s.Number, Mode: l.Mode, Zone: r.site.Zones[l.Zone],
-			Cell: l.Cell, Spot: Spot(l.ID), Since: Duration(r.clock.FromUnix(l.Started))})
+		m.Entries = append(m.Entries, r.entry(s))
 	}
 	return m
 }
+
+// effective is the mode the module is told: out by hand, a ready server drains.
+func (s *Server) effective() decide.Mode {
+	if s.banned && s.listed == decide.Ready {
+		return decide.Draining
+	}
+	return s.listed
+}
+
+// entry is the server as the module is told of it.
+func (r *roster) entry(s *Server) decide.Entry {
+	return decide.Entry{Backend: s.Number, Mode: s.mode, Zone: r.site.Zones[s.zone], Cell: s.cell, Spot: Spot(s.ID),
+		Since: Duration(r.clock.FromUnix(s.started))}
+}
--- a/internal/memory/taps.go
+++ b/internal/memory/taps.go
@@ -80,8 +80,11 @@
 		Queue: float32(report.Inflight), Errors: float32(report.Errors)})
 }
 
-// TurnedAway tells that the door refused a client for want of descriptors.
-func (x *Exchange) TurnedAway() {
+// TurnedAway tells that the door refused a client of the class for want of descriptors.
+func (x *Exchange) TurnedAway(class decide.Class) {
+	x.mu.Lock()
+	x.figures.count(class, Refused)
+	x.mu.Unlock()
 	if x.Tap != nil {
 		x.Tap.Put(&tap.Record{At: x.Clock.Now(), Kind: tap.Refuse, Server: -1, By: tap.Door})
 	}
--- a/internal/tap/tap.go
+++ b/internal/tap/tap.go
@@ -35,19 +35,20 @@
 
 // Who.
 const (
-	Nobody  By = iota
-	Server     // the server
-	Client     // the client
-	Module     // the decision module
-	Leaving    // this relay leaves
-	Silence    // its server brings nothing back
-	Claim      // its claim may be lost
-	Door       // the bound on descriptors
-	Late       // the backstop behind the module
+	Nobody   By = iota
+	Server      // the server
+	Client      // the client
+	Module      // the decision module
+	Leaving     // this relay leaves
+	Silence     // its server brings nothing back
+	Claim       // its claim may be lost
+	Door        // the bound on descriptors
+	Late        // the backstop behind the module
+	Operator    // by hand: a drain, or a server taken out
 )
 
 func (b By) String() string {
-	return [...]string{"", "server", "client", "module", "leaving", "silence", "claim", "door", "late"}[min(b, Late)]
+	return [...]string{"", "server", "client", "module", "leaving", "silence", "claim", "door", "late", "operator"}[min(b, Operator)]
 }
 
 // Peer is one other server that a placement could have gone to.
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -54,7 +54,11 @@
 			return nil
 		}
 		if first, _ := word(line); err == nil && first == "PING" {
-			if e.Pass([]byte("PONG\r\n")) != nil {
+			answer := "PONG\r\n"
+			if !f.X.Accepting() { // draining or leaving: the front is to send no one new
+				answer = "BUSY\r\n"
+			}
+			if e.Pass([]byte(answer)) != nil {
 				return nil
 			}
 			continue
@@ -68,7 +72,7 @@
 			return nil
 		}
 		if !p.Ask() { // the bound on descriptors: better a no at once than an accept that fails
-			f.X.TurnedAway()
+			f.X.TurnedAway(ask.Class)
 			e.Pass([]byte("BUSY 500\r\n"))
 			return nil
 		}
--- a/internal/wire/xmpp/client.go
+++ b/internal/wire/xmpp/client.go
@@ -45,7 +45,7 @@
 	case err != nil:
 		f.Gate.Log.Warn().Err(err).Str("to", st.to).Msg("stream refused before it was placed")
 	case !p.Ask():
-		f.X.TurnedAway()
+		f.X.TurnedAway(host.Class)
 		st.finish("resource-constraint", retryAfter(500))
 	default:
 		e.Until(0)
