Answer PING with BUSY only in a drain by hand, not while leaving

In an upgrade the front's kept PING connection may be the old process's: a BUSY from it would say that the relay drains while its successor serves the socket.

--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -103,6 +103,13 @@
 	return !x.refusing()
 }
 
+// Draining tells whether a drain by hand is on.
+func (x *Exchange) Draining() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.draining
+}
+
 // refusing tells whether what comes is to be refused. The caller holds the lock.
 func (x *Exchange) refusing() bool { return x.leaving || x.draining }
 
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -55,7 +55,8 @@
 		}
 		if first, _ := word(line); err == nil && first == "PING" {
 			answer := "PONG\r\n"
-			if !f.X.Accepting() { // draining or leaving: the front is to send no one new
+			if f.X.Draining() { // by hand: the front is to send no one new. Not so when leaving: in an upgrade the
+				// front's kept connection may be this process's, while the one that follows it serves the socket
 				answer = "BUSY\r\n"
 			}
 			if e.Pass([]byte(answer)) != nil {
