--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -164,3 +165,57 @@
 		t.Errorf("figures:\n%s", figures)
 	}
 }
+
+// Both processes of an upgrade keep one set of bans: a ban made at either holds at the other, and over the end
+// of the one that made it.
+func TestBansHoldOverUpgrade(t *testing.T) {
+	d, _ := stage(t, "s1")
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	config := configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = l.Addr().String(), d.Address
+		c["known"] = json.RawMessage(d.Whole())
+	})
+	shared := "TMPDIR=" + t.TempDir()
+	first, second := freeAddress(t), freeAddress(t)
+	old, _, _ := inherit(t, config, l, shared, "LB_ADMIN="+first)
+	defer old.Process.Kill()
+	next, _, _ := inherit(t, config, l, shared, "LB_ADMIN="+second)
+	defer next.Process.Kill()
+	for _, a := range []string{first, second} {
+		for i := 0; ; i++ {
+			if code, _ := call(t, "GET", "http://"+a+"/ops/readiness"); code == 200 {
+				break
+			}
+			if i > 500 {
+				t.Fatal("never ready")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if code, _ := call(t, "POST", "http://"+first+"/ops/tile-servers/down/s1"); code != 200 {
+		t.Fatalf("down: %d", code)
+	}
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process ended with %v", err)
+	}
+	for i := 0; ; i++ { // the old one may have taken some before it left; now the new one alone answers
+		c := dial(t, l.Addr().String())
+		fmt.Fprintf(c, "OPEN out%d 7f3a c=map-stream,t=acme,d=2000\r\n", i)
+		got, _ := c.in.ReadString('\n')
+		if strings.HasPrefix(got, "UP") {
+			t.Fatal("a server out by hand at the other process is sent a connection")
+		}
+		if i == 20 {
+			break
+		}
+	}
+	if code, _ := call(t, "POST", "http://"+second+"/ops/tile-servers/up/s1"); code != 200 {
+		t.Errorf("up: %d", code)
+	}
+	dial(t, l.Addr().String()).ask(t, strings.Replace(open, "9b1f", "back", 1), "UP")
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"capersail/internal/memory"
+)
+
+type relay struct {
+	mu    sync.Mutex
+	ready bool
+	out   map[string]bool
+}
+
+func (r *relay) Ready() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.ready }
+func (r *relay) Drain(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ready = !on
+}
+func (r *relay) Down(id string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id != "s1" {
+		return fmt.Errorf("down %s: %w", id, ErrUnknown)
+	}
+	r.out[id] = true
+	return nil
+}
+func (r *relay) Up(id string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.out, id)
+	return nil
+}
+
+type source struct{}
+
+func (source) Counts() []memory.Counts {
+	return []memory.Counts{{Answered: 812, Deferred: 3, Errored: 1, Sends: 900}, {Answered: 5}}
+}
+func (source) Current() int            { return 14 }
+func (source) Cluster() memory.Cluster { return memory.Cluster{Listed: 6, Banned: 1} }
+
+func serve(t *testing.T) (string, *relay) {
+	base, r, _ := serveOn(t)
+	return base, r
+}
+
+func serveOn(t *testing.T) (string, *relay, *Server) {
+	t.Helper()
+	r := &relay{ready: true, out: map[string]bool{}}
+	figures := prometheus.NewRegistry()
+	figures.MustRegister(NewFigures(Front{Source: source{}, Classes: []string{"map-stream", "alert-feed"}, Shunned: func() int { return 2 }}))
+	s, err := Listen("127.0.0.1:0", r, figures, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(func() { s.Close() })
+	return "http://" + s.Addr().String(), r, s
+}
+
+func do(t *testing.T, method, url string) (int, string, bool) {
+	t.Helper()
+	req, _ := http.NewRequest(method, url, nil)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), res.Close
+}
+
+func TestCalls(t *testing.T) {
+	base, r := serve(t)
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/ops/readiness", 200},
+		{"POST", "/ops/drain/start", 200},
+		{"GET", "/ops/readiness", 503},
+		{"POST", "/ops/drain/stop", 200},
+		{"GET", "/ops/readiness", 200},
+		{"POST", "/ops/tile-servers/down/s1", 200},
+		{"POST", "/ops/tile-servers/down/s1", 200},
+		{"POST", "/ops/tile-servers/down/never", 404},
+		{"POST", "/ops/tile-servers/up/s1", 200},
+		{"GET", "/ops/tile-servers/up/s1", 405},
+		{"GET", "/ops/nothing", 404},
+	} {
+		code, _, closed := do(t, c.method, base+c.path)
+		if code != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, code, c.want)
+		}
+		if !closed {
+			t.Errorf("%s %s: the connection is kept; one call a connection", c.method, c.path)
+		}
+	}
+	if len(r.out) != 0 {
+		t.Errorf("out: %v", r.out)
+	}
+}
+
+func TestFigures(t *testing.T) {
+	base, _ := serve(t)
+	_, text, _ := do(t, "GET", base+"/ops/stats")
+	for _, want := range []string{
+		`relay_answered{group="map-stream"} 812`, `relay_deferred{group="map-stream"} 3`, `relay_errored{group="map-stream"} 1`,
+		`relay_sends{group="map-stream"} 900`, `relay_answered{group="alert-feed"} 5`, "relay_current 14", "relay_cluster_size 6",
+		"relay_cluster_unhealthy 3", "# TYPE relay_answered counter", "# TYPE relay_current gauge",
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+}
+
+// A crowd of callers that hold their connections without a whole call keeps nobody else out, and each of them is
+// let go after a second at most.
+func TestCrowd(t *testing.T) {
+	base, _, s := serveOn(t)
+	address := strings.TrimPrefix(base, "http://")
+	var silent []net.Conn
+	for range 3 * MostConnections {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /ops/readi") // never a whole call
+		silent = append(silent, c)
+	}
+	for range 10 { // accepted after the crowd, from the same queue
+		if code, _, _ := do(t, "GET", base+"/ops/readiness"); code != 200 {
+			t.Fatalf("beside a crowd: %d", code)
+		}
+	}
+	s.l.mu.Lock()
+	if held := len(s.l.open); held > MostConnections {
+		t.Errorf("%d connections held, at most %d wanted", held, MostConnections)
+	}
+	s.l.mu.Unlock()
+	for i, c := range silent { // each is closed, pushed out or at the end of its second; an answer (408) is as good
+		c.SetReadDeadline(time.Now().Add(30 * time.Second))
+		_, err := bufio.NewReader(c).ReadString('\n')
+		if e, ok := err.(net.Error); ok && e.Timeout() {
+			t.Fatalf("silent caller %d is held", i)
+		}
+	}
+}
