Close an inherited listener without waiting; readiness waits for a list

Cause: TestBansHoldOverUpgrade hung at the old process's end. A goroutine dump (SIGQUIT) showed the accept in a blocking accept4 and Run waiting in leave's r.listener.Close (run.go): exec in the test, as any holder of the shared socket may, had made it blocking, and a close waits for the accept in progress, which waits for a connection. Ruled out: the bans' lock order and a full log pipe (the test drained it; still hung). With the close not waited for the test passes without restoring non-blocking mode; the harness now restores it as the platform leaves it.

Readiness also waits for a list of servers: a whole one from discovery or one with entries from the configuration (TestNotReadyWithoutList). A ban keeps the time it was made; 'tile server back' logs how long it was out.

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -26,7 +26,28 @@
 	cmd := program(t, config)
 	cmd.ExtraFiles = []*os.File{f}
 	cmd.Env = append(cmd.Env, append(env, "LB_FD=3")...)
-	return startCmd(t, cmd)
+	cmd, address, said := startCmd(t, cmd)
+	nonblocking(t, l)                // exec made the shared socket blocking; the platform leaves it as the relay set it
+	logs := make(chan string, 1<<16) // read on, whether the test looks or not: a full pipe would stop the program
+	go func() {
+		defer close(logs)
+		for line := range said {
+			select {
+			case logs <- line:
+			default:
+			}
+		}
+	}()
+	return cmd, address, logs
+}
+
+// nonblocking sets the socket, as all processes share it, back to non-blocking.
+func nonblocking(t *testing.T, l *net.TCPListener) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
 }
 
 // An upgrade: two processes serve one socket; at SIGTERM the old one moves its clients and stops accepting, and
@@ -219,3 +240,24 @@
 	}
 	dial(t, l.Addr().String()).ask(t, strings.Replace(open, "9b1f", "back", 1), "UP")
 }
+
+// Readiness waits for a list of servers: without one in the configuration, and with discovery out of reach, the
+// process serves but says no.
+func TestNotReadyWithoutList(t *testing.T) {
+	ops := freeAddress(t)
+	cmd := program(t, configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"], c["admin"] = "127.0.0.1:0", freeAddress(t), ops
+		delete(c, "known")
+	}))
+	cmd.Env = append(cmd.Env, "TMPDIR="+t.TempDir())
+	cmd, _, said := startCmd(t, cmd)
+	defer cmd.Process.Kill()
+	for line := range said {
+		if strings.HasPrefix(line, "second address") {
+			break
+		}
+	}
+	if code, _ := call(t, "GET", "http://"+ops+"/ops/readiness"); code != 503 {
+		t.Errorf("ready without a list: %d", code)
+	}
+}
--- a/internal/ban/ban.go
+++ b/internal/ban/ban.go
@@ -15,54 +15,69 @@
 // ErrUnknown refuses a call about an id that was never listed.
 var ErrUnknown = errors.New("no such tile server was ever listed")
 
-// Book is the set of tile servers that are out by hand.
+// Book is the set of tile servers that are out by hand, with the time each went out, in the relay's milliseconds.
 type Book struct {
-	out map[string]bool
+	out map[string]float64
 }
 
-// Down takes a server out. It tells whether that changed anything.
-func (b *Book) Down(id string, listed bool) (changed bool, err error) {
+// Down takes a server out at now. It tells whether that changed anything: a ban that stands keeps its time.
+func (b *Book) Down(now float64, id string, listed bool) (changed bool, err error) {
 	if !listed {
 		return false, ErrUnknown
 	}
-	if b.out[id] {
+	if _, ok := b.out[id]; ok {
 		return false, nil
 	}
 	if b.out == nil {
-		b.out = map[string]bool{}
+		b.out = map[string]float64{}
 	}
-	b.out[id] = true
+	b.out[id] = now
 	return true, nil
 }
 
+// Since is how long the server has been out at now, in ms; false if it is not out.
+func (b *Book) Since(now float64, id string) (float64, bool) {
+	at, ok := b.out[id]
+	return now - at, ok
+}
+
 // Up lets a server serve again. It tells whether that changed anything.
 func (b *Book) Up(id string, listed bool) (changed bool, err error) {
-	if !listed && !b.out[id] {
+	_, out := b.out[id]
+	if !listed && !out {
 		return false, ErrUnknown
 	}
-	if !b.out[id] {
+	if !out {
 		return false, nil
 	}
 	delete(b.out, id)
 	return true, nil
 }
 
-// Take replaces the bans by those kept, which another process of the relay may have changed. It tells whether
-// that changed anything.
-func (b *Book) Take(kept []string) (changed bool) {
-	next := make(map[string]bool, len(kept))
+// Take replaces the bans by those kept, which another process of the relay may have changed, at now. A ban that
+// stands keeps its time. It tells whether that changed anything.
+func (b *Book) Take(now float64, kept []string) (changed bool) {
+	next := make(map[string]float64, len(kept))
 	for _, id := range kept {
-		next[id] = true
-	}
-	if maps.Equal(next, b.out) || len(next) == 0 && len(b.out) == 0 {
-		return false
+		at, ok := b.out[id]
+		if !ok {
+			at, changed = now, true
+		}
+		next[id] = at
 	}
+	changed = changed || len(next) != len(b.out)
 	b.out = next
-	return true
+	return changed
 }
 
-// Out is a copy of the bans.
-func (b *Book) Out() map[string]bool { return maps.Clone(b.out) }
+// Out is the set of bans.
+func (b *Book) Out() map[string]bool {
+	out := make(map[string]bool, len(b.out))
+	for id := range b.out {
+		out[id] = true
+	}
+	return out
+}
 
 // IDs are the ids that are out, in order.
 func (b *Book) IDs() []string { return slices.Sorted(maps.Keys(b.out)) }
--- a/internal/ban/ban_test.go
+++ b/internal/ban/ban_test.go
@@ -9,18 +9,21 @@
 
 func TestCalls(t *testing.T) {
 	var b Book
-	if _, err := b.Down("s9", false); !errors.Is(err, ErrUnknown) {
+	if _, err := b.Down(0, "s9", false); !errors.Is(err, ErrUnknown) {
 		t.Errorf("a ban on an id never listed: %v", err)
 	}
 	if _, err := b.Up("s9", false); !errors.Is(err, ErrUnknown) {
 		t.Errorf("a call back of an id never listed: %v", err)
 	}
-	if changed, err := b.Down("s1", true); !changed || err != nil {
+	if changed, err := b.Down(10, "s1", true); !changed || err != nil {
 		t.Errorf("down: %v, %v", changed, err)
 	}
-	if changed, err := b.Down("s1", true); changed || err != nil {
+	if changed, err := b.Down(20, "s1", true); changed || err != nil {
 		t.Errorf("down again: %v, %v", changed, err)
 	}
+	if since, ok := b.Since(50, "s1"); !ok || since != 40 {
+		t.Errorf("out for %v ms, %v; the first call counts", since, ok)
+	}
 	if changed, err := b.Up("s1", false); !changed || err != nil { // whatever the list says now: one call back ends it
 		t.Errorf("up of a server that has left the list: %v, %v", changed, err)
 	}
@@ -34,18 +37,24 @@
 
 func TestTake(t *testing.T) {
 	var b Book
-	if b.Take(nil) {
+	if b.Take(0, nil) {
 		t.Error("nothing kept changes nothing")
 	}
-	if !b.Take([]string{"a", "b"}) || !slices.Equal(b.IDs(), []string{"a", "b"}) {
+	if !b.Take(5, []string{"a", "b"}) || !slices.Equal(b.IDs(), []string{"a", "b"}) {
 		t.Errorf("taken: %v", b.IDs())
 	}
-	if b.Take([]string{"b", "a"}) {
+	if b.Take(9, []string{"b", "a"}) {
 		t.Error("the same bans in another order change nothing")
 	}
-	if !b.Take([]string{"b"}) || !slices.Equal(b.IDs(), []string{"b"}) {
+	if !b.Take(12, []string{"b"}) || !slices.Equal(b.IDs(), []string{"b"}) {
 		t.Errorf("taken: %v", b.IDs())
 	}
+	if since, _ := b.Since(20, "b"); since != 15 {
+		t.Errorf("a ban that stands lost its time: %v", since)
+	}
+	if !b.Take(30, []string{"c"}) || !slices.Equal(b.IDs(), []string{"c"}) {
+		t.Errorf("as many, but others: %v", b.IDs())
+	}
 }
 
 // Every id is one plain file name, and comes back from it.
--- a/internal/lifecycle/admin.go
+++ b/internal/lifecycle/admin.go
@@ -76,13 +76,13 @@
 	return o, nil
 }
 
-// Ready: the front serves, and neither drains nor leaves.
+// Ready: the front serves, has a list of servers, and neither drains nor leaves.
 func (o *operated) Ready() bool {
 	if !o.serving.Load() {
 		return false
 	}
 	for _, r := range o.relays {
-		if !r.x.Accepting() {
+		if !r.x.Accepting() || !r.x.HasList() {
 			return false
 		}
 	}
@@ -147,7 +147,7 @@
 func (o *operated) Down(id string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	changed, err := o.bans.Down(id, o.known(id))
+	changed, err := o.bans.Down(o.now(), id, o.known(id))
 	if err != nil || !changed {
 		return err
 	}
@@ -163,18 +163,23 @@
 func (o *operated) Up(id string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	since, _ := o.bans.Since(o.now(), id)
 	changed, err := o.bans.Up(id, o.known(id))
 	if err != nil || !changed {
 		return err
 	}
+	o.log.Info().Str("server", id).Float64("out_ms", since).Msg("tile server back")
 	if err := os.Remove(filepath.Join(o.dir, ban.Name(id))); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		o.bans.Down(id, true)
+		o.bans.Down(o.now(), id, true)
 		return fmt.Errorf("the ban cannot be ended: %w", err)
 	}
 	o.apply()
 	return nil
 }
 
+// now is the relay's time, in ms.
+func (o *operated) now() float64 { return o.relays[0].x.Clock.Now() }
+
 // known tells whether any front has ever had the server in its list. The caller holds the lock.
 func (o *operated) known(id string) bool {
 	for _, r := range o.relays {
@@ -222,7 +227,7 @@
 		}
 	}
 	sort.Strings(ids)
-	if o.bans.Take(ids) {
+	if o.bans.Take(o.now(), ids) {
 		o.log.Info().Strs("out", ids).Msg("tile servers out by hand")
 		o.apply()
 	}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -146,7 +146,9 @@
 		for _, r := range relays {
 			fronts.Go(func() {
 				if r.inherited { // the successor accepts from the same queue: nothing that comes is turned back
-					r.listener.Close()
+					// Not waited for: where whoever else holds the socket has made it blocking, an accept in
+					// progress holds the close until a connection comes.
+					go r.listener.Close()
 				}
 				leave(r)
 				r.listener.Close()
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -113,6 +113,14 @@
 // refusing tells whether what comes is to be refused. The caller holds the lock.
 func (x *Exchange) refusing() bool { return x.leaving || x.draining }
 
+// HasList tells whether the relay has a list of servers to go by: a whole one from discovery, or one with entries
+// from its configuration.
+func (x *Exchange) HasList() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.roster.whole
+}
+
 // Known tells whether a server of that id has ever been in the list.
 func (x *Exchange) Known(id string) bool {
 	x.mu.Lock()
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -62,6 +62,7 @@
 	byID    map[string]*Server
 	servers []*Server       // by number; a server keeps its number for this relay's life
 	out     map[string]bool // the ids of servers that are out by hand
+	whole   bool            // a whole list has come from discovery, or one with entries from the configuration
 }
 
 // take writes a list into the roster and returns it in the module's numbers.
@@ -72,6 +73,7 @@
 		}
 	}
 	m := decide.Members{Kind: kind}
+	r.whole = r.whole || kind == decide.Whole || kind == decide.Cached && len(list) > 0
 	for _, l := range list {
 		s := r.byID[l.ID]
 		if s == nil {
