--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -232,10 +232,6 @@
 	door := gate.New(clock, room(c.Sockets, c.Admin != ""), log)
 	front := &platform.Front{X: x, Site: c.Site, Gate: door}
 	all.join(&seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front})
-	if inherited { // a process that this one replaces may have left a newer list
-		path := takeHandover(c, log)
-		go keepHandover(ctx, path, c.Name, x, log)
-	}
 	x.Members(decide.Cached, c.Known.Entries)
 	go lister.Run(ctx, c.Known.Version)
 	go memory.NewCore(x, c.Seed, lister, log).Run(ctx)
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -121,20 +121,6 @@
 	return x.roster.whole
 }
 
-// Listing is the newest list as discovery gave it, without the servers that have gone.
-func (x *Exchange) Listing() []Listed {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var out []Listed
-	for _, s := range x.roster.servers {
-		if s.listed != decide.GoneMode {
-			out = append(out, Listed{ID: s.ID, Address: s.Address, Zone: s.zone, Cell: s.cell, Mode: s.listed, Started: s.started,
-				Load: -1, Resumes: s.Resumes})
-		}
-	}
-	return out
-}
-
 // Known tells whether a server of that id has ever been in the list.
 func (x *Exchange) Known(id string) bool {
 	x.mu.Lock()
