Share one rounding for a leave's and a drain's pace, and one platform socket in tests

Change: shareOf in run.go is the rounded share both use; platformSocket in ops_test.go sets both tests up.

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -50,19 +50,26 @@
 	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
 }
 
-// An upgrade: two processes serve one socket; at SIGTERM the old one moves its clients and stops accepting, and
-// not one connection that comes meanwhile is turned back.
-func TestUpgradeOnInheritedSocket(t *testing.T) {
+// platformSocket is a listening socket held as the platform holds it, and a configuration for relays on it that
+// know one server.
+func platformSocket(t *testing.T) (*net.TCPListener, string) {
+	t.Helper()
 	d, _ := stage(t, "s1")
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	config := configure(t, func(c map[string]any) {
+	t.Cleanup(func() { l.Close() })
+	return l, configure(t, func(c map[string]any) {
 		c["listen"], c["discovery"] = l.Addr().String(), d.Address
 		c["known"] = json.RawMessage(d.Whole())
 	})
+}
+
+// An upgrade: two processes serve one socket; at SIGTERM the old one moves its clients and stops accepting, and
+// not one connection that comes meanwhile is turned back.
+func TestUpgradeOnInheritedSocket(t *testing.T) {
+	l, config := platformSocket(t)
 	old, _, _ := inherit(t, config, l)
 	c := dial(t, l.Addr().String())
 	c.ask(t, "PING", "PONG")
@@ -199,16 +206,7 @@
 // Both processes of an upgrade keep one set of bans: a ban made at either holds at the other, and over the end
 // of the one that made it.
 func TestBansHoldOverUpgrade(t *testing.T) {
-	d, _ := stage(t, "s1")
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	config := configure(t, func(c map[string]any) {
-		c["listen"], c["discovery"] = l.Addr().String(), d.Address
-		c["known"] = json.RawMessage(d.Whole())
-	})
+	l, config := platformSocket(t)
 	shared := "TMPDIR=" + t.TempDir()
 	first, second := freeAddress(t), freeAddress(t)
 	old, _, _ := inherit(t, config, l, shared, "LB_ADMIN="+first)
--- a/internal/lifecycle/admin.go
+++ b/internal/lifecycle/admin.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"math"
 	"os"
 	"path/filepath"
 	"sort"
@@ -139,8 +138,7 @@
 
 // keptBy is how many of all connections a drain by hand still keeps at some point.
 func keptBy(all int, since float64) int {
-	part := (drainBy - since) / (drainBy - drainHold)
-	return int(math.Ceil(float64(all) * max(0, min(part, 1))))
+	return shareOf(all, (drainBy-since)/(drainBy-drainHold))
 }
 
 // Down takes a tile server out by hand. The ban is kept, and the module told, before the yes.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -276,6 +276,8 @@
 
 // staying is how many of all calls may still be there at some point of a leave that takes so much time.
 func staying(all int, since, time float64) int {
-	part := (time - since) / (time * (1 - holdPart))
-	return int(math.Ceil(float64(all) * max(0, min(part, 1))))
+	return shareOf(all, (time-since)/(time*(1-holdPart)))
 }
+
+// shareOf is the share p of all, rounded up, p held between 0 and 1: how many are still kept at a point of a leave.
+func shareOf(all int, p float64) int { return int(math.Ceil(float64(all) * max(0, min(p, 1)))) }
