--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime/debug"
 
-	"capersail/internal/wire"
+	"capersail/internal/wire/drill"
 )
 
 func main() {
@@ -24,7 +24,7 @@
 // run answers each line until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	lines := bufio.NewReaderSize(in, 1<<20)
-	hub := wire.NewHub()
+	hub := drill.NewHub()
 	var long []byte // a line longer than the buffer
 	for n := 1; ; {
 		part, err := lines.ReadSlice('\n')
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -14,9 +14,9 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/control"
-	"capersail/internal/depart"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/timeline"
 	"capersail/internal/store"
-	"capersail/internal/timeline"
 )
 
 // run runs a command line.
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"capersail/internal/chart"
 	"capersail/internal/control"
 	"capersail/internal/lifecycle"
-	"capersail/internal/report"
+	"capersail/internal/observe/chart"
+	"capersail/internal/observe/report"
 	"capersail/internal/standin"
 )
 
--- a/internal/command/timeline.go
+++ b/internal/command/timeline.go
@@ -13,13 +13,13 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"capersail/internal/chart"
 	"capersail/internal/control"
-	"capersail/internal/depart"
 	"capersail/internal/lifecycle"
-	"capersail/internal/report"
+	"capersail/internal/observe/chart"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/watch"
 	"capersail/internal/store"
-	"capersail/internal/watch"
 )
 
 // source is where time lines are read.
--- a/internal/command/watch.go
+++ b/internal/command/watch.go
@@ -11,8 +11,8 @@
 	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
 
-	"capersail/internal/report"
-	"capersail/internal/timeline"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/timeline"
 )
 
 func (p *Program) watch(s *source) *cobra.Command {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,9 +15,9 @@
 
 	"github.com/rs/zerolog"
 
-	"capersail/internal/depart"
-	"capersail/internal/report"
-	"capersail/internal/watch"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/watch"
 )
 
 const (
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/internal/memory"
-	"capersail/internal/wire"
 	"capersail/internal/wire/discovery"
+	"capersail/internal/wire/drill"
 )
 
 // Config is what a relay is told at its start.
@@ -90,7 +90,7 @@
 		return nil, fmt.Errorf("settings.classes: at least one class is wanted")
 	}
 	c.settings = settings.String()
-	c.Site = wire.DecodeSettings(settings)
+	c.Site = drill.DecodeSettings(settings)
 	c.Known = &discovery.List{}
 	if known := v.Get("known"); known != nil {
 		if c.Known, err = discovery.Parse(known.String(), log); err != nil {
--- a/internal/lifecycle/timeline.go
+++ b/internal/lifecycle/timeline.go
@@ -13,9 +13,9 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/control"
+	"capersail/internal/observe/timeline"
+	"capersail/internal/observe/watch"
 	"capersail/internal/store"
-	"capersail/internal/timeline"
-	"capersail/internal/watch"
 )
 
 // Timeline is the operator's file for time lines; deploy/timeline.toml says what each key means.
--- a/internal/memory/bench_test.go
+++ b/internal/memory/bench_test.go
@@ -7,7 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // BenchmarkDecision is a call's whole life in the core, from its opening to its end, with records and without, in
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // Discovery is where the list of servers comes from. Neither method may block. Each is answered by one
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // State is where a call stands.
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -2,7 +2,7 @@
 
 import (
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // This file holds what operators ask of a relay: a drain by hand, tile servers taken out by hand, and the figures.
--- a/internal/memory/taps.go
+++ b/internal/memory/taps.go
@@ -2,7 +2,7 @@
 
 import (
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // This file makes records for the tap. Callers hold the Exchange's lock and have looked that there is a tap.
--- a/internal/chart/chart.go
+++ b/internal/observe/chart/chart.go
@@ -16,8 +16,8 @@
 	"gonum.org/v1/plot/vg/vgimg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"capersail/internal/report"
-	"capersail/internal/timeline"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/timeline"
 )
 
 // MostPanels bounds a picture.
--- a/internal/depart/depart.go
+++ b/internal/observe/depart/depart.go
@@ -9,7 +9,7 @@
 	"slices"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // Kind is a way to depart.
--- a/internal/depart/depart_test.go
+++ b/internal/observe/depart/depart_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // The model fleet: servers with connections, reports that are refreshed now and then, probes and set-ups, in a time
--- a/internal/report/report.go
+++ b/internal/observe/report/report.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"capersail/decide"
-	"capersail/internal/depart"
-	"capersail/internal/timeline"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/timeline"
 )
 
 // Query says what is asked for. Times are Unix ms, 0 for no bound.
--- a/internal/timeline/timeline.go
+++ b/internal/observe/timeline/timeline.go
@@ -11,7 +11,7 @@
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 // State is what a server is in, as this relay saw it.
--- a/internal/timeline/timeline_test.go
+++ b/internal/observe/timeline/timeline_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"capersail/decide"
-	"capersail/internal/tap"
+	"capersail/internal/observe/tap"
 )
 
 func states(l *Line) (all []string) {
--- a/internal/watch/bench_test.go
+++ b/internal/observe/watch/bench_test.go
@@ -14,10 +14,10 @@
 
 	"capersail/decide"
 	"capersail/internal/memory"
-	"capersail/internal/report"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/tap"
+	"capersail/internal/observe/timeline"
 	"capersail/internal/store"
-	"capersail/internal/tap"
-	"capersail/internal/timeline"
 )
 
 // BenchmarkFold is what it costs to fold a record into its line and to look for departures, over 200 servers, and the
--- a/internal/watch/watch.go
+++ b/internal/observe/watch/watch.go
@@ -13,12 +13,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
-	"capersail/internal/depart"
 	"capersail/internal/memory"
-	"capersail/internal/report"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/tap"
+	"capersail/internal/observe/timeline"
 	"capersail/internal/store"
-	"capersail/internal/tap"
-	"capersail/internal/timeline"
 )
 
 const (
--- a/internal/watch/watch_test.go
+++ b/internal/observe/watch/watch_test.go
@@ -16,12 +16,12 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/depart"
 	"capersail/internal/memory"
-	"capersail/internal/report"
+	"capersail/internal/observe/depart"
+	"capersail/internal/observe/report"
+	"capersail/internal/observe/timeline"
 	"capersail/internal/standin"
 	"capersail/internal/store"
-	"capersail/internal/timeline"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/platform"
 )
--- a/internal/wire/wire_test.go
+++ b/internal/wire/drill/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package drill
 
 import (
 	"bytes"
