Add the decider of who is in the fleet and what share of a budget each may take

No I/O, time as an argument. With the joint view, the wait, the grant's end or the pledge taken out, the same tests find a sum over one.

--- /dev/null
+++ b/internal/fleet/member/model_test.go
@@ -0,0 +1,587 @@
+package member
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// world is a fleet in memory: Keepers on one set clock, each with a clock of its own that runs fast or slow, and a
+// network that loses, delays, doubles and cuts. Nothing in it is left to chance but by its seed.
+type world struct {
+	rng    *rand.Rand
+	now    float64
+	nodes  []*node
+	wires  []packet
+	cut    map[[2]int]bool // from, to
+	loss   float64
+	slow   float64 // most delay of a packet
+	twice  float64
+	sum    float64       // the greatest sum of shares met
+	change func(*Keeper) // takes a protection out
+}
+
+type node struct {
+	k       *Keeper
+	cfg     Config
+	disk    Record
+	up      bool
+	stopped bool
+	rate    float64 // of its clock
+	zero    float64 // what its clock read at the world's 0
+	queue   []Event // came while it was stopped
+	words   map[int]Word
+	lost    map[int]float64 // since when a peer is not heard
+	leaving bool
+}
+
+type packet struct {
+	at       float64
+	from, to int
+	ev       Event
+}
+
+func name(i int) string { return fmt.Sprintf("r%02d", i) }
+
+func newWorld(n, founders int, seed uint64) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, slow: 20}
+	for i := range n {
+		rate := 1 + Drift*(2*w.rng.Float64()-1)
+		w.nodes = append(w.nodes, &node{cfg: Config{Name: name(i), Place: i, Founders: founders, Relays: founders, Seed: seed + uint64(i)},
+			rate: rate, zero: 1000 * w.rng.Float64()})
+	}
+	return w
+}
+
+func (n *node) clock(now float64) float64 { return n.zero + now*n.rate }
+
+func (w *world) start(i int) {
+	n := w.nodes[i]
+	n.up, n.stopped, n.leaving, n.queue, n.words, n.lost = true, false, false, nil, map[int]Word{}, map[int]float64{}
+	n.k = New(n.clock(w.now), n.cfg, n.disk)
+	if w.change != nil {
+		w.change(n.k)
+	}
+	w.act(i, n.k.Start(n.clock(w.now), nil))
+	w.feed(i, Own{Doing: Serving, Rate: 10, List: 1})
+}
+
+func (w *world) kill(i int) { w.nodes[i].up = false }
+
+func (w *world) feed(i int, ev Event) {
+	n := w.nodes[i]
+	switch {
+	case !n.up:
+	case n.stopped:
+		if len(n.queue) < 1000 {
+			n.queue = append(n.queue, ev)
+		}
+	default:
+		w.act(i, n.k.Handle(n.clock(w.now), ev, nil))
+		w.check()
+	}
+}
+
+func (w *world) wake(i int) {
+	n := w.nodes[i]
+	n.stopped = false
+	w.check()
+	queue := n.queue
+	n.queue = nil
+	for _, ev := range queue {
+		w.feed(i, ev)
+	}
+}
+
+func (w *world) act(i int, acts []Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Save:
+			w.nodes[i].disk = a.Record
+		case Send:
+			for j, n := range w.nodes {
+				if n.cfg.Name == a.To {
+					w.post(i, j, Got{From: name(i), Message: a.Message})
+				}
+			}
+		case Publish:
+			for j := range w.nodes {
+				if j != i {
+					w.post(i, j, Told{Name: name(i), Digest: a.Digest})
+				}
+			}
+		}
+	}
+}
+
+func (w *world) post(from, to int, ev Event) {
+	for again := true; again; again = w.rng.Float64() < w.twice {
+		if w.cut[[2]int{from, to}] || w.rng.Float64() < w.loss {
+			continue
+		}
+		delay := 1 + w.slow*w.rng.Float64()
+		if w.twice > 0 && w.rng.Float64() < 0.02 {
+			delay += 8000 * w.rng.Float64() // an old packet, still under way
+		}
+		w.wires = append(w.wires, packet{w.now + delay, from, to, ev})
+	}
+}
+
+// check is the promise.
+func (w *world) check() {
+	sum := 0.0
+	for _, n := range w.nodes {
+		if n.up && !n.stopped {
+			share, _, _ := n.k.share(n.clock(w.now))
+			sum += share
+		}
+	}
+	if sum > w.sum {
+		w.sum = sum
+	}
+}
+
+// detect stands for the failure detector: whoever is cut off both ways, down or stopped for failAfter is failed, by
+// each relay's own sight. It may be wrong, and late, as the real one may.
+const failAfter = 2000.0
+
+func (w *world) detect() {
+	for i, n := range w.nodes {
+		if !n.up || n.stopped {
+			continue
+		}
+		for j, p := range w.nodes {
+			if i == j {
+				continue
+			}
+			reached := p.up && !p.stopped && !w.cut[[2]int{i, j}] && !w.cut[[2]int{j, i}]
+			word := n.words[j]
+			switch {
+			case reached:
+				delete(n.lost, j)
+				if word != Alive {
+					n.words[j] = Alive
+					w.feed(i, Heard{name(j), Alive})
+				}
+			case word == Alive:
+				if n.lost[j] == 0 {
+					n.lost[j] = w.now
+				}
+				if w.now >= n.lost[j]+failAfter*(0.5+w.rng.Float64()) {
+					n.words[j] = Failed
+					w.feed(i, Heard{name(j), Failed})
+				}
+			}
+		}
+	}
+}
+
+// run lets time pass.
+func (w *world) run(ms float64) {
+	for until := w.now + ms; w.now < until; {
+		w.now += 10
+		due := w.wires[:0:0]
+		left := w.wires[:0]
+		for _, p := range w.wires {
+			if p.at <= w.now {
+				due = append(due, p)
+			} else {
+				left = append(left, p)
+			}
+		}
+		w.wires = left
+		slices.SortStableFunc(due, func(a, b packet) int {
+			switch {
+			case a.at < b.at:
+				return -1
+			case a.at > b.at:
+				return 1
+			}
+			return 0
+		})
+		for _, p := range due {
+			w.feed(p.to, p.ev)
+		}
+		if int(w.now)%100 == 0 {
+			w.detect()
+		}
+		for i, n := range w.nodes {
+			if n.up && !n.stopped && n.clock(w.now) >= n.k.Next()-10 {
+				w.feed(i, Tick{})
+			}
+		}
+		w.check()
+	}
+}
+
+// agreed tells whether all that are up hold one view of just them, settled.
+func (w *world) agreed() error {
+	var ref *View
+	up := 0
+	for _, n := range w.nodes {
+		if n.up {
+			up++
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.up {
+			continue
+		}
+		v := n.k.View()
+		if ref == nil {
+			ref = v
+		}
+		if v.Hash() != ref.Hash() || len(v.Members()) != up || !v.Settled() || n.k.Phase() != Agreed {
+			return fmt.Errorf("%s: %s, %s, %d members, settled %v; %d are up", n.cfg.Name, n.k.Phase(), v.summary(), len(v.Members()), v.Settled(), up)
+		}
+	}
+	return nil
+}
+
+func TestFleetForms(t *testing.T) {
+	w := newWorld(7, 7, 1)
+	for i := range w.nodes {
+		w.start(i)
+	}
+	w.run(6000)
+	if err := w.agreed(); err != nil {
+		t.Fatal(err)
+	}
+	w.kill(3)
+	w.run(failAfter*1.5 + 2000)
+	for _, n := range w.nodes {
+		if n.up && n.k.View().Seat(name(3)).In {
+			t.Errorf("%s still has the killed one in its view", n.cfg.Name)
+		}
+	}
+	w.run(Settle + 2000)
+	if err := w.agreed(); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.nodes[0].k.Reckoning(w.nodes[0].clock(w.now)).Share; math.Abs(got-1.0/6) > 1e-6 {
+		t.Errorf("a share of six is %v", got)
+	}
+	w.start(3)
+	w.run(8000)
+	if err := w.agreed(); err != nil {
+		t.Fatal(err)
+	}
+	if w.sum > 1 {
+		t.Errorf("the shares added up to %v", w.sum)
+	}
+}
+
+// drawn plays one schedule of faults.
+func drawn(n, founders int, seed uint64, steps int, change func(*Keeper)) *world {
+	founders = min(founders, n)
+	w := newWorld(n, founders, seed)
+	w.change = change
+	w.loss, w.twice = 0.2*w.rng.Float64()*float64(seed%2), 0.1*float64(seed%3)/2
+	for i := range n {
+		if i < founders || w.rng.IntN(2) == 0 {
+			w.start(i)
+		}
+		if w.rng.IntN(3) == 0 {
+			w.run(200 * w.rng.Float64())
+		}
+	}
+	for range steps {
+		i := w.rng.IntN(n)
+		switch x := w.nodes[i]; w.rng.IntN(11) {
+		case 0:
+			w.kill(i)
+		case 1, 2:
+			if !x.up {
+				w.start(i)
+			}
+		case 3:
+			if x.up {
+				w.kill(i)
+				w.run(300 * w.rng.Float64())
+				w.start(i)
+			}
+		case 4:
+			if x.up {
+				x.stopped = true
+			}
+		case 5:
+			if x.up && x.stopped {
+				w.wake(i)
+			}
+		case 6: // a partition: each to one of two or three
+			parts, of := 2+w.rng.IntN(2), make([]int, n)
+			for j := range of {
+				of[j] = w.rng.IntN(parts)
+			}
+			for a := range n {
+				for b := range n {
+					w.cut[[2]int{a, b}] = of[a] != of[b]
+				}
+			}
+		case 7: // one way
+			for range 1 + n/3 {
+				w.cut[[2]int{i, w.rng.IntN(n)}] = true
+			}
+		case 8:
+			clear(w.cut)
+		case 9:
+			if x.up && !x.stopped {
+				w.feed(i, Own{Doing: []Doing{Serving, Draining, Leaving}[w.rng.IntN(3)], Rate: 10, List: 1})
+			}
+		}
+		if w.rng.IntN(2) == 0 {
+			w.run(300 * w.rng.Float64())
+		} else {
+			w.run(5000 * w.rng.Float64())
+		}
+	}
+	return w
+}
+
+// heal ends all faults and waits for agreement.
+func (w *world) heal(within float64) error {
+	clear(w.cut)
+	w.loss, w.twice = 0, 0
+	for i, n := range w.nodes {
+		switch {
+		case !n.up:
+			w.start(i)
+		case n.stopped:
+			w.wake(i)
+		}
+		if n.k.own.Doing != Serving { // who has said that it leaves goes, and comes back
+			w.kill(i)
+			w.start(i)
+		}
+	}
+	for until := w.now + within; w.now < until; {
+		w.run(500)
+		if w.agreed() == nil {
+			return nil
+		}
+	}
+	return w.agreed()
+}
+
+// long tells whether the long schedules are asked for; docs/measurements/members.md has their command and result.
+func long() bool { return os.Getenv("CAPERSAIL_LONG") == "1" }
+
+// each runs a schedule for each seed on all cores, and reports the first seeds that fail.
+func each(t *testing.T, seeds int, play func(seed uint64) error) {
+	var next atomic.Uint64
+	var bad atomic.Int32
+	var all sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for bad.Load() < 3 {
+				seed := next.Add(1) - 1
+				if seed >= uint64(seeds) {
+					return
+				}
+				if err := play(seed); err != nil {
+					bad.Add(1)
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// The promise, over drawn schedules: a few relays in many, fifty in some. After each the faults end, and all agree.
+func TestSharesNeverExceedOne(t *testing.T) {
+	few, fifty := 600, 12
+	if long() {
+		few, fifty = 100_000, 10_000
+	}
+	play := func(n, founders, steps int, heal float64) func(uint64) error {
+		return func(seed uint64) error {
+			w := drawn(n+int(seed%4), founders+int(seed%3), seed, steps, nil)
+			if err := w.heal(heal); err != nil {
+				return fmt.Errorf("after the heal: %w", err)
+			}
+			if w.sum > 1 {
+				return fmt.Errorf("the shares of %d relays added up to %v", len(w.nodes), w.sum)
+			}
+			return nil
+		}
+	}
+	t.Run("few", func(t *testing.T) { each(t, few, play(3, 2, 30, 25000)) })
+	t.Run("fifty", func(t *testing.T) { each(t, fifty, play(50, 20, 12, 40000)) })
+}
+
+// Each protection taken out is found out by the same schedules.
+func TestSharesNeedTheirProtections(t *testing.T) {
+	for what, without := range map[string]func(*Keeper){
+		"the joint view": func(k *Keeper) { k.joint = false },
+		"the wait":       func(k *Keeper) { k.settle = 300 },
+		"the grant":      func(k *Keeper) { k.grant = 60_000 },
+		"the pledge":     func(k *Keeper) { k.pledges = false },
+	} {
+		found := uint64(0)
+		for seed := uint64(1); seed < 3000 && found == 0; seed++ {
+			if drawn(3+int(seed%4), 2+int(seed%3), seed, 30, without).sum > 1+1e-9 {
+				found = seed
+			}
+		}
+		if found == 0 {
+			t.Errorf("without %s no schedule was found in which the shares exceed one", what)
+		}
+		t.Logf("without %s the shares exceed one at seed %d", what, found)
+	}
+}
+
+// little is a world whose every step is chosen: which packet arrives next, or that time passes.
+type little struct {
+	now   float64
+	nodes []*node
+	wires []packet
+}
+
+func (l *little) clone() *little {
+	c := &little{now: l.now, wires: slices.Clone(l.wires)}
+	for _, n := range l.nodes {
+		m := *n
+		m.k = n.k.clone()
+		c.nodes = append(c.nodes, &m)
+	}
+	return c
+}
+
+func (k *Keeper) clone() *Keeper {
+	c := *k
+	c.rng, c.out = rand.New(rand.NewPCG(k.cfg.Seed, 3)), nil
+	c.peers, c.order, c.answers, c.seen = map[string]*Peer{}, nil, maps.Clone(k.answers), maps.Clone(k.seen)
+	for name, p := range k.peers {
+		q := *p
+		*c.peer(name) = q
+	}
+	if k.try != nil {
+		t := *k.try
+		t.promised, t.accepted = maps.Clone(t.promised), maps.Clone(t.accepted)
+		c.try = &t
+	}
+	return &c
+}
+
+func (l *little) feed(i int, ev Event) {
+	n := l.nodes[i]
+	for _, a := range n.k.Handle(l.now, ev, nil) {
+		switch a := a.(type) {
+		case Save:
+			n.disk = a.Record
+		case Send:
+			for j, m := range l.nodes {
+				if m.cfg.Name == a.To {
+					l.wires = append(l.wires, packet{0, i, j, Got{From: n.cfg.Name, Message: a.Message}})
+				}
+			}
+		case Publish:
+			for j := range l.nodes {
+				if j != i {
+					l.wires = append(l.wires, packet{0, i, j, Told{Name: n.cfg.Name, Digest: a.Digest}})
+				}
+			}
+		}
+	}
+}
+
+func (l *little) sum() (sum float64) {
+	for _, n := range l.nodes {
+		sum += n.k.Reckoning(l.now).Share
+	}
+	return sum
+}
+
+// explore plays every sequence of so many steps and returns how many there were and the greatest sum met.
+func (l *little) explore(depth int) (played int, most float64) {
+	most = l.sum()
+	if depth == 0 {
+		return 1, most
+	}
+	visit := func(step func(*little)) {
+		c := l.clone()
+		step(c)
+		n, sum := c.explore(depth - 1)
+		played, most = played+n, max(most, sum)
+	}
+	met := map[string]bool{}
+	for i, p := range l.wires {
+		if id := fmt.Sprintf("%+v", p); !met[id] { // two packets alike make one step
+			met[id] = true
+			visit(func(c *little) {
+				c.wires = slices.Delete(c.wires, i, i+1)
+				c.feed(p.to, p.ev)
+			})
+		}
+	}
+	for _, ms := range []float64{450, Settle + 10} {
+		visit(func(c *little) {
+			c.now += ms
+			for i := range c.nodes {
+				c.feed(i, Tick{})
+			}
+		})
+	}
+	visit(func(c *little) { // the first is killed and back
+		n := c.nodes[0]
+		n.k = New(c.now, n.cfg, n.disk)
+		n.k.joint = c.nodes[1].k.joint
+		n.k.Start(c.now, nil)
+		n.disk = n.k.rec
+		for i := range c.nodes[1:] {
+			c.feed(0, Heard{c.nodes[i+1].cfg.Name, Alive})
+		}
+	})
+	return played, most
+}
+
+// small returns a world of three that have agreed, or of three that have just met.
+func small(agreed, joint bool) *little {
+	w := newWorld(3, 3, 5)
+	for i, n := range w.nodes {
+		n.rate, n.zero = 1, 0
+		w.start(i)
+	}
+	if agreed {
+		w.run(8000)
+	} else {
+		w.run(50)
+	}
+	l := &little{now: w.now, nodes: w.nodes}
+	for _, n := range l.nodes {
+		n.k.joint = joint
+	}
+	return l
+}
+
+// Every interleaving of three relays to a depth: packets in any order or never, time, a kill and a restart.
+func TestEveryInterleaving(t *testing.T) {
+	depth := 5
+	if long() {
+		depth = 7
+	}
+	cutOff := func(joint bool) *little { // the third is taken for gone, and its grant is good still
+		l := small(true, joint)
+		l.feed(0, Heard{name(2), Failed})
+		l.feed(1, Heard{name(2), Failed})
+		return l
+	}
+	for what, l := range map[string]*little{"founding": small(false, true), "cut off": cutOff(true), "agreed": small(true, true)} {
+		played, most := l.explore(depth)
+		t.Logf("%s: %d sequences of %d steps, the shares add up to %.6f at most", what, played, depth, most)
+		if most > 1 {
+			t.Errorf("%s: the shares add up to %v", what, most)
+		}
+	}
+	if _, most := cutOff(false).explore(5); most <= 1+1e-9 {
+		t.Error("without the joint view no sequence was found in which the shares exceed one")
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/types.go
@@ -0,0 +1,207 @@
+package member
+
+// Phase is how far a relay's view is agreed.
+type Phase uint8
+
+// The phases, as docs/operate/members.md explains them.
+const (
+	Starting Phase = iota
+	Alone
+	Agreed
+	Settling
+	CutOff
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "alone", "agreed", "settling", "cut off"}[min(p, CutOff)]
+}
+
+// Doing is what a relay says it does.
+type Doing uint8
+
+// What a relay does.
+const (
+	Coming   Doing = iota // it has no list of servers yet
+	Serving               // it takes clients
+	Draining              // it is drained by hand
+	Leaving               // it takes nothing any more and will go
+)
+
+func (d Doing) String() string {
+	return [...]string{"starting", "serving", "draining", "leaving"}[min(d, Leaving)]
+}
+
+// Word is what is known of a peer's life.
+type Word uint8
+
+// The words.
+const (
+	Unheard   Word = iota
+	Alive          // it answers
+	Suspected      // it does not answer, and may yet refute
+	Failed         // it did not refute
+	Left           // it said that it goes
+)
+
+func (w Word) String() string {
+	return [...]string{"unheard", "alive", "suspected", "failed", "left"}[min(w, Left)]
+}
+
+// Digest is what a relay tells all others of itself. Fields that a reader does not know are skipped, those that a
+// writer did not know are zero.
+type Digest struct {
+	Version     int     `cbor:"1,keyasint"`
+	Incarnation uint64  `cbor:"2,keyasint"` // of the process: rises with each start
+	Doing       Doing   `cbor:"3,keyasint"`
+	Zone        string  `cbor:"4,keyasint,omitempty"`
+	Rate        float64 `cbor:"5,keyasint"` // requests a second that clients bring it
+	Held        int     `cbor:"6,keyasint"` // connections
+	List        int64   `cbor:"7,keyasint"` // generation of its list of servers
+	Epoch       uint64  `cbor:"8,keyasint"` // of the view that it holds, on its disk
+	Hash        uint64  `cbor:"9,keyasint"` // of that view
+	Founders    int     `cbor:"10,keyasint"`
+	Place       int     `cbor:"11,keyasint"` // from 0; negative for none
+	Pledged     bool    `cbor:"12,keyasint"` // its place is the fleet's to divide
+}
+
+// DigestVersion is the version that this program writes.
+const DigestVersion = 1
+
+// Ballot orders proposals; two relays never use the same one.
+type Ballot struct {
+	Round uint64 `cbor:"1,keyasint"`
+	Name  string `cbor:"2,keyasint"`
+}
+
+func (b Ballot) less(c Ballot) bool {
+	return b.Round < c.Round || b.Round == c.Round && b.Name < c.Name
+}
+
+// Record is what has to be on disk before anything that follows from it is said or done.
+type Record struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Pledged     bool   `cbor:"2,keyasint"`
+	Promised    Ballot `cbor:"3,keyasint"`
+	AcceptedBy  Ballot `cbor:"4,keyasint"`
+	Accepted    *View  `cbor:"5,keyasint,omitempty"` // the view after the one held
+	View        *View  `cbor:"6,keyasint,omitempty"` // the newest that is known to be chosen; nil for view 0
+}
+
+// Kind is the kind of a message between two relays.
+type Kind uint8
+
+// The messages.
+const (
+	Renew    Kind = iota + 1 // a member asks a voter to renew its grant in Epoch; At is the asker's own time
+	Renewed                  // At as it was asked
+	Ask                      // may I propose what follows Epoch, by Ballot?
+	Promise                  // yes; By and View are what was accepted, Gone whom the voter takes for gone
+	Propose                  // accept View by Ballot
+	Accepted                 // it is, on disk
+	Held                     // View is chosen
+	Nay                      // a higher Ballot is promised, or Epoch is what the answerer holds
+)
+
+// Message is what one relay's Keeper says to another's.
+type Message struct {
+	Kind   Kind     `cbor:"1,keyasint"`
+	Epoch  uint64   `cbor:"2,keyasint"`
+	At     float64  `cbor:"3,keyasint,omitempty"`
+	To     uint64   `cbor:"4,keyasint,omitempty"` // the incarnation that an answer is for
+	Ballot Ballot   `cbor:"5,keyasint,omitempty"`
+	By     Ballot   `cbor:"6,keyasint,omitempty"`
+	View   *View    `cbor:"7,keyasint,omitempty"`
+	Gone   []string `cbor:"8,keyasint,omitempty"`
+	From   uint64   `cbor:"9,keyasint"` // the sender's incarnation
+	Place  int      `cbor:"10,keyasint"`
+}
+
+// Event is something a Keeper is told.
+type Event interface{ event() }
+
+type (
+	// Heard is word of a peer's life.
+	Heard struct {
+		Name string
+		Word Word
+	}
+	// Told is a peer's newest digest.
+	Told struct {
+		Name   string
+		Digest Digest
+	}
+	// Got is a message from a peer.
+	Got struct {
+		From string
+		Message
+	}
+	// Own is what this relay does now.
+	Own struct {
+		Doing Doing
+		Zone  string
+		Rate  float64
+		Held  int
+		List  int64
+	}
+	// Unsaved says that a Record could not be kept: nothing that followed from it has been done, and the relay must
+	// promise nothing any more.
+	Unsaved struct{}
+	// Tick says that time has passed; see Next.
+	Tick struct{}
+)
+
+func (Heard) event()   {}
+func (Told) event()    {}
+func (Got) event()     {}
+func (Own) event()     {}
+func (Unsaved) event() {}
+func (Tick) event()    {}
+
+// Action is something a Keeper wants done, in the order in which it is given: what follows a Save that failed must
+// not be done.
+type Action interface{ action() }
+
+type (
+	// Save keeps a Record.
+	Save struct{ Record Record }
+	// Send sends a message.
+	Send struct {
+		To string
+		Message
+	}
+	// Publish tells all peers this relay's digest.
+	Publish struct{ Digest Digest }
+	// Changed is for people: the view, the phase or a peer's state has changed.
+	Changed struct {
+		What  string // "view", "phase" or "peer"
+		Name  string // the peer
+		State string
+		Cause string
+	}
+	// Refresh wants the list of servers asked for out of turn: a peer has a newer one.
+	Refresh struct{ Generation int64 }
+)
+
+func (Save) action()    {}
+func (Send) action()    {}
+func (Publish) action() {}
+func (Changed) action() {}
+func (Refresh) action() {}
+
+// Config is what a Keeper is told at its start.
+type Config struct {
+	Name     string
+	Place    int // this relay's number, from 0
+	Founders int // how many places view 0 has
+	Relays   int // the settings' number, reckoned with before any agreement
+	Seed     uint64
+}
+
+// Peer is what is known of one.
+type Peer struct {
+	Name   string
+	Word   Word
+	Since  float64 // of the word
+	Digest Digest
+	ToldAt float64 // when the digest came, negative for never
+}
