Let the module take in what the relays know of each other

The core holds it still while a batch is decided. The discovery client says its list's generation and can ask out of turn.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -80,6 +80,8 @@
 		b.alarm(e.Token)
 	case Probed:
 		b.probed(e)
+	case Fleet:
+		b.gather(e)
 	case DelayNote:
 		if r := b.reqs[e.ID]; r != nil && e.Delay > b.set.Classes[r.Class].Message {
 			b.server(e.Backend).lagTill = b.now + noteEvery
@@ -383,7 +385,7 @@
 		budget = coldShare * b.set.Rules.FallMultiple * b.warmth(s) / adds / life
 	}
 	met := b.rate() * min(1, probesPerPick/float64(len(b.zones[s.Zone])))
-	return b.rng.Float64()*met*float64(b.set.Relays) < budget
+	return b.rng.Float64()*met < budget*b.share()
 }
 
 // warmth is the part of its capacity that a backend has at least.
@@ -442,8 +444,15 @@
 	return b.rng.Float64()*b.coming()*b.adds() < (fullLoad-b.estimate(s))*share
 }
 
-// coming is how many requests come to all relays while a reading cannot tell of them.
-func (b *Balancer) coming() float64 { return b.rate() * float64(b.set.Relays) * reportLag.Seconds() }
+// coming is how many requests come to all relays while a reading cannot tell of them. Where the others do not
+// say what comes to them, each is taken to see what this one sees.
+func (b *Balancer) coming() float64 {
+	all := b.rate() * float64(b.set.Relays)
+	if b.talk.Others >= 0 {
+		all = b.rate() + b.talk.Others
+	}
+	return all * reportLag.Seconds()
+}
 
 // anyone is the gentle fallback when no reading is left: a backend at random, first at home and well,
 // then anywhere and well, then any warm one; so many draws would overspend a cold one's budget.
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,6 +87,7 @@
 	watching bool
 	late     int // set-ups timed out since the last that came
 	asked    int // failed calls to discovery in a row
+	talk     Fleet
 }
 
 // New returns the Balancer of a relay that has just started. Settings that make no sense are replaced
@@ -111,6 +112,7 @@
 	_, golden := math.Modf(float64(set.Me) * math.Phi)
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), jitter: golden, began: -1, probeRTT: time.Second,
 		zones: make([][]Backend, set.Zones), reqs: map[RequestID]*request{}, tokens: make([]float64, len(set.Tenants)+1)}
+	b.talk = Fleet{Relays: set.Relays, Share: 1 / float64(set.Relays), Others: -1}
 	for i := range b.tokens {
 		b.tokens[i] = retryBurst
 	}
@@ -269,3 +271,17 @@
 	usual := ((b.now - b.began).Seconds() + window) / max(b.arrived, 1) // from one to the next
 	return (1 + b.recent) / (usual + window)
 }
+
+// gather takes in what the relays know of each other.
+func (b *Balancer) gather(f Fleet) {
+	f.Relays, f.Share = max(f.Relays, 1), max(0, min(f.Share, 1))
+	b.talk, b.set.Relays = f, f.Relays
+}
+
+// share is the part of a budget of the whole fleet that is this relay's now.
+func (b *Balancer) share() float64 {
+	if b.talk.Until > 0 && b.now >= b.talk.Until {
+		return 0
+	}
+	return b.talk.Share
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -224,6 +224,13 @@
 		Backend Backend
 		Delay   time.Duration
 	}
+	// Fleet is what the relays know of each other. Before the first of these the settings' number holds for all.
+	Fleet struct {
+		Relays int           // that take clients, this one too
+		Share  float64       // the part of a cold backend's budget that is this relay's
+		Until  time.Duration // the share lapses then, unless another Fleet comes; 0 for never
+		Others float64       // requests a second that come to the other relays, negative if that is not known
+	}
 	// Peer is a message from another relay.
 	Peer struct {
 		From int
@@ -241,6 +248,7 @@
 func (Probed) event()    {}
 func (LoadNote) event()  {}
 func (DelayNote) event() {}
+func (Fleet) event()     {}
 func (Peer) event()      {}
 
 // Why says what stood in the way of a request that gets no server. It is told to people; nothing is decided by it.
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -29,14 +29,13 @@
 )
 
 const (
-	answerWithin = 500.0   // a ballot that has no majority by then is given up
-	turnEvery    = 400.0   // between two voters' turns to propose
-	stuckAfter   = 600.0   // an accepted view that nobody tells the choice of is taken up
-	quietFor     = 5000.0  // a peer's digest is told again within this
-	graceAtStart = 1500.0  // a relay that has heard nobody for so long is alone
-	foundAfter   = 700.0   // how long founders wait for each other before they make the first view
-	foundLast    = 3000.0  // and at the latest they do with a majority
-	freshFor     = 30000.0 // arrivals told longer ago are not added up
+	answerWithin = 500.0  // a ballot that has no majority by then is given up
+	turnEvery    = 400.0  // between two voters' turns to propose
+	stuckAfter   = 600.0  // an accepted view that nobody tells the choice of is taken up
+	behindFor    = 2000.0 // a peer has had a newer list of servers for so long
+	graceAtStart = 1500.0 // a relay that has heard nobody for so long is alone
+	foundAfter   = 700.0  // how long founders wait for each other before they make the first view
+	foundLast    = 3000.0 // and at the latest they do with a majority
 )
 
 // attempt is a ballot of this relay's own.
@@ -83,7 +82,8 @@
 	askAt     float64 // not before this is a view asked for
 	best      *Peer   // scratch for catchUp
 	told      Digest
-	seen      map[string]int64 // list generations asked for, by peer
+	seq       uint64  // of the digests
+	behindAt  float64 // from when on a newer list at a peer is asked for
 }
 
 // New returns the Keeper of a relay that starts. rec is what was kept, the zero Record for none; the first action
@@ -197,7 +197,7 @@
 func (k *Keeper) hearDigest(e Told) (news bool) {
 	p, d := k.peer(e.Name), e.Digest
 	if e.Name == k.cfg.Name || d.Incarnation < p.Digest.Incarnation ||
-		d.Incarnation == p.Digest.Incarnation && d.Epoch < p.Digest.Epoch { // overtaken on its way
+		d.Incarnation == p.Digest.Incarnation && d.Seq <= p.Digest.Seq { // overtaken on its way, or told before
 		return false
 	}
 	old := p.Digest
@@ -208,18 +208,26 @@
 		k.do(Changed{What: "peer", Name: e.Name, State: d.Doing.String(), Cause: "its digest"})
 	}
 	p.Digest, p.ToldAt = d, k.now
-	if d.List > k.own.List && k.own.List > 0 && d.List > p.askedFor(k) {
-		if k.seen == nil {
-			k.seen = map[string]int64{}
-		}
-		k.seen[e.Name] = d.List
-		k.do(Refresh{d.List})
-	}
 	return news
 }
 
-// askedFor is the newest list of a peer's that this relay has asked discovery for already.
-func (p *Peer) askedFor(k *Keeper) int64 { return k.seen[p.Name] }
+// behind asks for the list of servers out of turn once a peer has had a newer one for a while: word of a change
+// reaches all within moments, unless this relay's watch has gone silent.
+func (k *Keeper) behind() {
+	newest := int64(0)
+	for _, p := range k.order {
+		if p.ToldAt >= 0 && p.Word == Alive {
+			newest = max(newest, p.Digest.List)
+		}
+	}
+	switch {
+	case newest <= k.own.List || k.own.List == 0:
+		k.behindAt = k.now + behindFor*(1+k.rng.Float64()/2)
+	case k.now >= k.behindAt:
+		k.behindAt = k.now + 4*behindFor*(1+k.rng.Float64()/2)
+		k.do(Refresh{newest})
+	}
+}
 
 // sorted are the peers in the order of names, so that a Keeper with the same past does the same.
 func (k *Keeper) sorted() []*Peer { return k.order }
@@ -284,6 +292,7 @@
 	k.propose()
 	k.judge()
 	k.tell(false)
+	k.behind()
 }
 
 // catchUp asks for a view that others hold and nobody has told.
@@ -715,6 +724,8 @@
 	if !now && k.now < k.tellAt {
 		return
 	}
+	k.seq++
+	d.Seq = k.seq
 	k.told, k.tellAt = d, k.now+k.tellEvery()
 	k.do(Publish{d})
 }
--- a/internal/fleet/member/model_test.go
+++ b/internal/fleet/member/model_test.go
@@ -458,7 +458,7 @@
 func (k *Keeper) clone() *Keeper {
 	c := *k
 	c.rng, c.out = rand.New(rand.NewPCG(k.cfg.Seed, 3)), nil
-	c.peers, c.order, c.answers, c.seen = map[string]*Peer{}, nil, maps.Clone(k.answers), maps.Clone(k.seen)
+	c.peers, c.order, c.answers = map[string]*Peer{}, nil, maps.Clone(k.answers)
 	for name, p := range k.peers {
 		q := *p
 		*c.peer(name) = q
--- a/internal/fleet/member/types.go
+++ b/internal/fleet/member/types.go
@@ -62,6 +62,7 @@
 	Founders    int     `cbor:"10,keyasint"`
 	Place       int     `cbor:"11,keyasint"` // from 0; negative for none
 	Pledged     bool    `cbor:"12,keyasint"` // its place is the fleet's to divide
+	Seq         uint64  `cbor:"13,keyasint"` // rises with each digest of an incarnation
 }
 
 // DigestVersion is the version that this program writes.
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -27,6 +27,13 @@
 	overdueAfter = 20.0
 )
 
+// Fleet is what this relay knows of the others. What Hold returns stands until Release: whoever changes it waits, so
+// that no decision is made by a share that this relay has said it no longer takes. Neither may block for long.
+type Fleet interface {
+	Hold(now float64) decide.Fleet
+	Release()
+}
+
 // Core is the loop that alone owns the Balancer, its timers and the actions it wants.
 type Core struct {
 	x       *Exchange
@@ -39,6 +46,8 @@
 	swept   float64
 	tick    float64
 	pool    []decide.View // of the placement under way, for the tap
+	// Fleet is nil where the relays do not know each other. It is set before Run.
+	Fleet Fleet
 }
 
 // NewCore returns the loop of a relay that has just started.
@@ -106,6 +115,10 @@
 	batch := c.x.inbox
 	c.x.inbox = nil
 	c.x.mu.Unlock()
+	if c.Fleet != nil {
+		c.handle(now, c.Fleet.Hold(now))
+		defer c.Fleet.Release()
+	}
 	for _, ev := range batch {
 		if r, ok := ev.(decide.Request); ok {
 			c.timers.set(timer{at: now + Millis(r.Left) + overdueAfter, overdue: r.ID})
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"capersail/decide"
 	"capersail/internal/observe/tap"
@@ -120,6 +121,7 @@
 	calls    map[decide.RequestID]*Call
 	names    map[string]*Call // the calls that have names
 	lastID   decide.RequestID
+	arrived  atomic.Uint64
 	inbox    []decide.Event
 	ready    chan struct{} // holds one token while the inbox has something
 	leaving  bool          // at SIGTERM, for good
@@ -236,6 +238,7 @@
 
 func (x *Exchange) enter(a Ask, client Client) *Call {
 	x.lastID++
+	x.arrived.Add(1)
 	c := &Call{Ask: a, ID: x.lastID, x: x, client: client, settled: make(chan struct{}),
 		finished: make(chan struct{}), deadline: x.Clock.Now() + a.Left}
 	x.calls[c.ID] = c
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -67,6 +67,16 @@
 	return n
 }
 
+// Arrivals is how many requests have come since the process started.
+func (x *Exchange) Arrivals() uint64 { return x.arrived.Load() }
+
+// Leaving tells whether the relay is on its way out for good.
+func (x *Exchange) Leaving() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.leaving
+}
+
 // Cluster is what the relay knows of the tile servers in the list.
 type Cluster struct {
 	Listed int // in the list, ready or draining
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fastjson"
@@ -44,6 +45,8 @@
 	asks  chan bool     // true for a watch, false for the whole list
 	moved chan struct{} // holds one token while a new address waits to be followed
 
+	generation atomic.Int64 // of the newest list taken in
+
 	mu      sync.Mutex
 	address string
 	hangUp  context.CancelFunc // ends the call that is out
@@ -63,6 +66,22 @@
 		return
 	}
 	c.address = address
+	c.follow()
+}
+
+// Generation is the version of the newest list taken in, 0 before the first.
+func (c *Client) Generation() int64 { return c.generation.Load() }
+
+// Again ends the call that is out and asks at once for the whole list: a watch that stands may still have gone
+// silent. The module does not hear of it, as nothing has failed.
+func (c *Client) Again() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follow()
+}
+
+// follow makes Run ask anew. The caller holds the lock.
+func (c *Client) follow() {
 	select {
 	case c.moved <- struct{}{}:
 	default:
@@ -183,6 +202,7 @@
 				return err
 			}
 			*version = list.Version
+			c.generation.Store(list.Version)
 			kind := decide.Delta
 			if list.Full {
 				kind = decide.Whole
