--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -105,6 +105,7 @@
 		c.Flags().StringVar(&from.Operator, "xmpp", "", "operator's `file` for the XMPP front; off without it")
 		c.Flags().StringVar(&from.Resume, "resume", "", "operator's `file` for moving with a token; off without it")
 		c.Flags().StringVar(&from.Timeline, "timeline", "", "operator's `file` for time lines; off without it")
+		c.Flags().StringVar(&from.Members, "members", "", "operator's `file` for relays that know each other; off without it")
 		c.Flags().StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn, error")
 		c.Flags().StringVar(&format, "log-format", "json", "json or text")
 		return c
@@ -121,7 +122,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(
 		flags(&cobra.Command{Use: "serve", Short: "Serve, as LB_CONFIG and the flags say", Args: arguments(cobra.NoArgs), RunE: serve}),
-		p.demo(), p.config(), p.timeline(), p.client(),
+		p.demo(), p.config(), p.timeline(), p.members(), p.client(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: arguments(cobra.NoArgs), Run: func(cmd *cobra.Command, _ []string) {
 			fmt.Fprintln(p.Out, "capersail", version())
 		}},
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -70,6 +70,9 @@
 	case has("zookeeper", "host", "class"):
 		_, err = lifecycle.ReadOperator(path)
 		return "xmpp", err
+	case has("site", "seeds", "founders"):
+		_, err = lifecycle.ReadMembers(path)
+		return "members", err
 	case has("keys", "servers") && !has("socket", "store"):
 		_, err = lifecycle.ReadResume(path)
 		return "resume", err
@@ -77,5 +80,5 @@
 		_, err = lifecycle.ReadTimeline(path)
 		return "timeline", err
 	}
-	return "", fmt.Errorf("%s: no key says what it is for: zookeeper, host and class are of the XMPP front, keys of moving with a token, socket and store of time lines", path)
+	return "", fmt.Errorf("%s: no key says what it is for: zookeeper, host and class are of the XMPP front, site, seeds and founders of members, keys of moving with a token, socket and store of time lines", path)
 }
--- /dev/null
+++ b/internal/command/members.go
@@ -0,0 +1,155 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os/signal"
+	"sort"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/spf13/cobra"
+
+	"capersail/internal/control"
+	"capersail/internal/fleet/member"
+)
+
+// members are the commands that ask a relay what it knows of the others.
+func (p *Program) members() *cobra.Command {
+	var socket, config string
+	var every time.Duration
+	c := &cobra.Command{Use: "members", Short: "What a relay knows of the others",
+		Long: "What a relay knows of the others: who is there, how far they agree, and what share this relay takes. The relay is\n" +
+			"asked on its socket, named by --config (the file that the relay has as --members) or by --socket."}
+	c.PersistentFlags().StringVar(&config, "config", "", "the relay's `file` for members")
+	c.PersistentFlags().StringVar(&socket, "socket", "", "`path` of a running relay's socket")
+	ask := func() (*member.Report, error) {
+		path := socket
+		if path == "" && config != "" {
+			var file struct{ Socket string }
+			if _, err := toml.DecodeFile(config, &file); err != nil {
+				return nil, fmt.Errorf("%s: %w", config, err)
+			}
+			if path = file.Socket; path == "" {
+				return nil, fmt.Errorf("%s: socket: not set, so the relay cannot be asked", config)
+			}
+		}
+		if path == "" {
+			return nil, usage(fmt.Errorf("--config or --socket is wanted"))
+		}
+		r, err := control.AskFleet(path)
+		if err != nil {
+			return nil, exit{NoAnswer, err}
+		}
+		return r, nil
+	}
+	list := &cobra.Command{Use: "list", Short: "Every relay: its state, since when, how it is known, its share", Args: arguments(cobra.NoArgs),
+		RunE: func(*cobra.Command, []string) error {
+			r, err := ask()
+			if err != nil {
+				return err
+			}
+			return showMembers(p.Out, r)
+		}}
+	watch := &cobra.Command{Use: "watch", Short: "A line for each change, until interrupted", Args: arguments(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			var last *member.Report
+			for {
+				r, err := ask()
+				if err != nil {
+					return err
+				}
+				for _, line := range memberChanges(last, r) {
+					fmt.Fprintln(p.Out, time.Now().Format("15:04:05.000"), line)
+				}
+				last = r
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-time.After(every):
+				}
+			}
+		}}
+	watch.Flags().DurationVar(&every, "every", 500*time.Millisecond, "how often the relay is asked")
+	c.AddCommand(list, watch)
+	return c
+}
+
+// headline is a relay's own state in a line.
+func headline(r *member.Report) string {
+	line := fmt.Sprintf("%s at %s: %s, epoch %d", r.Relay, r.Site, r.Phase, r.Epoch)
+	if r.Epoch > 0 {
+		line += " (" + r.Hash + ")"
+	}
+	line += fmt.Sprintf(", %d relays, share %.4f: %s", r.Relays, r.Share, r.Why)
+	if r.Unclaimed > 0 {
+		line += fmt.Sprintf(", %d places with their owners", r.Unclaimed)
+	}
+	return line
+}
+
+func showMembers(w io.Writer, r *member.Report) error {
+	fmt.Fprintln(w, headline(r))
+	if r.AgreedMs > 2000 {
+		fmt.Fprintf(w, "agreed last %s ago\n", (time.Duration(r.AgreedMs) * time.Millisecond).Round(time.Second))
+	}
+	tab := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tab, "RELAY\tSTATE\tSINCE\tDOES\tZONE\tVIEW\tSHARE\tMAY TAKE\tEPOCH\tPER S\tHELD\tKNOWN BY")
+	for _, m := range r.Members {
+		view := "-"
+		if m.Member {
+			view = "member"
+		}
+		if m.Voter {
+			view += ", voter"
+		}
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%s\t%s\t%.4f\t%.4f\t%d\t%.1f\t%d\t%s\n", m.Name, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(100*time.Millisecond),
+			m.Doing, m.Zone, view, m.Share, max(m.Share, m.Bound), m.Epoch, m.Rate, m.Held, m.How)
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	if len(r.Dropped) > 0 {
+		var all []string
+		for why, n := range r.Dropped {
+			all = append(all, fmt.Sprintf("%s %d", why, n))
+		}
+		sort.Strings(all)
+		fmt.Fprintln(w, "dropped:", strings.Join(all, ", "))
+	}
+	return nil
+}
+
+// memberChanges are the differences between two answers of a relay, a line each.
+func memberChanges(old, now *member.Report) (lines []string) {
+	if old == nil || old.Phase != now.Phase || old.Epoch != now.Epoch || old.Share != now.Share {
+		lines = append(lines, headline(now))
+	}
+	before := map[string]member.Row{}
+	if old != nil {
+		for _, m := range old.Members {
+			before[m.Name] = m
+		}
+	}
+	for _, m := range now.Members {
+		was, known := before[m.Name]
+		delete(before, m.Name)
+		if known && was.State == m.State && was.Doing == m.Doing && was.Member == m.Member && was.Incarnation == m.Incarnation {
+			continue
+		}
+		line := fmt.Sprintf("%s: %s, %s", m.Name, m.State, m.Doing)
+		if m.Member {
+			line += ", in the view"
+		}
+		if known && was.Incarnation != m.Incarnation {
+			line += ", started anew"
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"capersail/internal/fleet/member"
 	"capersail/internal/observe/depart"
 	"capersail/internal/observe/report"
 	"capersail/internal/observe/watch"
@@ -30,18 +31,27 @@
 // ErrInUse says that another daemon answers on the socket.
 var ErrInUse = errors.New("another daemon answers there")
 
+// Fleet is what a relay knows of the others.
+type Fleet interface{ Report() member.Report }
+
+// Room is what a socket can be asked for.
+type Room struct {
+	Watchers []*watch.Watcher
+	Fleet    Fleet // nil for none
+}
+
 // Server answers questions.
 type Server struct {
-	l        net.Listener
-	watchers []*watch.Watcher
-	log      zerolog.Logger
-	room     chan struct{}
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
+	l net.Listener
+	Room
+	log   zerolog.Logger
+	room  chan struct{}
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // Listen begins to answer. A socket that a dead daemon has left is replaced.
-func Listen(path string, watchers []*watch.Watcher, log zerolog.Logger) (*Server, error) {
+func Listen(path string, room Room, log zerolog.Logger) (*Server, error) {
 	if conn, err := net.Dial("unix", path); err == nil {
 		conn.Close()
 		return nil, fmt.Errorf("%s: %w", path, ErrInUse)
@@ -55,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{l: l, watchers: watchers, log: log, room: make(chan struct{}, most), conns: map[net.Conn]bool{}}
+	s := &Server{l: l, Room: room, log: log, room: make(chan struct{}, most), conns: map[net.Conn]bool{}}
 	go s.accept()
 	return s, nil
 }
@@ -100,8 +110,15 @@
 	}
 }
 
+// question is what is asked: of the fleet, or of time lines.
+type question struct {
+	Fleet bool `json:"fleet,omitempty"`
+	report.Query
+}
+
 // reply is what comes back on a line.
 type reply struct {
+	Fleet   *member.Report   `json:"fleet,omitempty"`
 	Error   string           `json:"error,omitempty"`
 	Reports []*report.Report `json:"reports,omitempty"`
 	Event   *depart.Event    `json:"event,omitempty"`
@@ -112,7 +129,7 @@
 	in := bufio.NewReaderSize(conn, longest)
 	line, err := in.ReadSlice('\n')
 	out := writer{conn}
-	var q report.Query
+	var q question
 	if err == nil {
 		err = json.Unmarshal(line, &q)
 	}
@@ -120,9 +137,18 @@
 		out.send(reply{Error: "no question: " + err.Error()})
 		return
 	}
+	if q.Fleet {
+		if s.Fleet == nil {
+			out.send(reply{Error: "this socket tells nothing of the fleet"})
+			return
+		}
+		r := s.Fleet.Report()
+		out.send(reply{Fleet: &r})
+		return
+	}
 	var events []<-chan depart.Event
 	if q.Follow { // before the report: what begins meanwhile is told twice rather than not at all
-		for _, w := range s.watchers {
+		for _, w := range s.Watchers {
 			c, stop := w.Follow()
 			if c == nil {
 				out.send(reply{Error: "too many follow already"})
@@ -133,8 +159,8 @@
 		}
 	}
 	var r reply
-	for _, w := range s.watchers {
-		r.Reports = append(r.Reports, w.Report(q))
+	for _, w := range s.Watchers {
+		r.Reports = append(r.Reports, w.Report(q.Query))
 	}
 	if out.send(r) != nil || !q.Follow {
 		return
@@ -184,6 +210,16 @@
 	return got, err
 }
 
+// AskFleet asks a running relay what it knows of the others.
+func AskFleet(path string) (*member.Report, error) {
+	var got *member.Report
+	err := ask(path, question{Fleet: true}, func(r reply) bool { got = r.Fleet; return false })
+	if err == nil && got == nil {
+		err = errors.New("the relay's answer: nothing of the fleet")
+	}
+	return got, err
+}
+
 // Follow asks and goes on with events, until fn returns false or the relay ends.
 func Follow(path string, q report.Query, begin func([]*report.Report), fn func(depart.Event) bool) error {
 	q.Follow = true
@@ -196,7 +232,7 @@
 	})
 }
 
-func ask(path string, q report.Query, fn func(reply) bool) error {
+func ask(path string, q any, fn func(reply) bool) error {
 	conn, err := net.DialTimeout("unix", path, time.Second)
 	if err != nil {
 		return fmt.Errorf("no relay answers: %w", err)
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -778,6 +778,9 @@
 	return float64(seat.Share) / float64(Whole), k.trusted, "granted in the view"
 }
 
+// Incarnation is this process's.
+func (k *Keeper) Incarnation() uint64 { return k.rec.Incarnation }
+
 // View returns the view held.
 func (k *Keeper) View() *View { return k.view }
 
--- a/internal/fleet/member/types.go
+++ b/internal/fleet/member/types.go
@@ -1,5 +1,11 @@
 package member
 
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
 // Phase is how far a relay's view is agreed.
 type Phase uint8
 
@@ -206,3 +212,72 @@
 	Digest Digest
 	ToldAt float64 // when the digest came, negative for never
 }
+
+// Report is what is known of the fleet at one relay, for people.
+type Report struct {
+	Relay     string            `json:"relay"`
+	Site      string            `json:"site"`
+	Phase     string            `json:"phase"`
+	Epoch     uint64            `json:"epoch"`
+	Hash      string            `json:"hash"`
+	AgreedMs  float64           `json:"agreed_ms"` // since the view was agreed last, negative for never
+	Relays    int               `json:"relays"`    // reckoned with
+	Share     float64           `json:"share"`     // of a budget of the fleet
+	Why       string            `json:"why"`
+	Others    float64           `json:"others_per_s"` // requests at the others, negative if not known
+	Unclaimed int               `json:"unclaimed"`    // places that their owners keep
+	Members   []Row             `json:"members"`
+	Dropped   map[string]uint64 `json:"dropped"` // packets, by reason
+}
+
+// Row is one relay in a Report.
+type Row struct {
+	Name        string  `json:"name"`
+	State       string  `json:"state"` // this relay's own: "here"
+	Doing       string  `json:"doing"`
+	Zone        string  `json:"zone"`
+	Member      bool    `json:"member"` // of the view
+	Voter       bool    `json:"voter"`
+	Share       float64 `json:"share"`
+	Bound       float64 `json:"bound"`    // it may still take so much by an older view
+	SinceMs     float64 `json:"since_ms"` // of the state
+	How         string  `json:"how"`
+	Epoch       uint64  `json:"epoch"` // that it says it holds
+	Incarnation uint64  `json:"incarnation"`
+	Rate        float64 `json:"per_s"`
+	Held        int     `json:"held"`
+}
+
+// Report tells what the Keeper knows. Site and Dropped are its driver's to fill in.
+func (k *Keeper) Report(now float64) Report {
+	r := k.Reckoning(now)
+	out := Report{Relay: k.cfg.Name, Phase: r.Phase.String(), Epoch: r.Epoch, Hash: strconv.FormatUint(k.hash, 16), AgreedMs: -1, Relays: r.Relays,
+		Share: r.Share, Why: r.Why, Others: r.Others, Unclaimed: len(k.view.Unclaimed)}
+	if k.agreedAt >= 0 {
+		out.AgreedMs = now - k.agreedAt
+	}
+	row := func(name, state, how string, since float64, d Digest) {
+		s := k.view.Seat(name)
+		out.Members = append(out.Members, Row{Name: name, State: state, Doing: d.Doing.String(), Zone: d.Zone, Member: s.In,
+			Voter: slices.Contains(k.view.Voters, k.whoVotes(name, d.Place)), Share: float64(s.Share) / float64(Whole), Bound: float64(s.Bound) / float64(Whole),
+			SinceMs: since, How: how, Epoch: d.Epoch, Incarnation: d.Incarnation, Rate: d.Rate, Held: d.Held})
+	}
+	row(k.cfg.Name, "here", "itself", now-k.began, k.digest())
+	for _, p := range k.order {
+		how := "failure detection"
+		switch {
+		case p.ToldAt < 0:
+			how += ", no digest yet"
+		case p.Word == Unheard:
+			how = "its digest, passed on"
+		}
+		row(p.Name, p.Word.String(), how, now-p.Since, p.Digest)
+	}
+	for _, s := range k.view.Seats {
+		if k.peers[s.Name] == nil && s.Name != k.cfg.Name {
+			row(s.Name, Unheard.String(), "the view", now-k.began, Digest{Place: -1})
+		}
+	}
+	slices.SortFunc(out.Members, func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"errors"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -204,3 +205,36 @@
 	}
 	return out
 }
+
+// Check tells what of a view that came from elsewhere could not be.
+func (v *View) Check() error {
+	if v.Epoch == 0 || v.Founders < 1 || v.Founders > mostSeats || len(v.Voters) == 0 || len(v.Voters) > MostVoters ||
+		len(v.Seats) > mostSeats || len(v.Unclaimed) > v.Founders {
+		return errBadView
+	}
+	sum := v.reserved()
+	for i, s := range v.Seats {
+		if s.most() > Whole || i > 0 && v.Seats[i-1].Name >= s.Name || s.Name == "" {
+			return errBadView
+		}
+		if sum += s.most(); sum > Whole {
+			return errBadView
+		}
+	}
+	for i, name := range v.Voters {
+		if !v.Seat(name).In || slices.Contains(v.Voters[:i], name) {
+			return errBadView
+		}
+	}
+	for i, p := range v.Unclaimed {
+		if p < 0 || p >= v.Founders || i > 0 && v.Unclaimed[i-1] >= p {
+			return errBadView
+		}
+	}
+	return nil
+}
+
+// mostSeats bounds a view.
+const mostSeats = 1 << 16
+
+var errBadView = errors.New("a view that cannot be: its shares, seats or voters make no sense")
--- a/internal/lifecycle/admin.go
+++ b/internal/lifecycle/admin.go
@@ -47,15 +47,17 @@
 
 // startAdmin serves the second address until ctx ends. The bans kept in $TMPDIR by a process that this one
 // replaces hold from the start.
-func startAdmin(ctx context.Context, address string, relays []*relay, fronts []admin.Front, log zerolog.Logger) (*operated, error) {
+func startAdmin(ctx context.Context, address string, relays []*relay, fronts []admin.Front, more []prometheus.Collector, log zerolog.Logger) (*operated, error) {
 	o := &operated{relays: relays, dir: filepath.Join(os.TempDir(), bansFolder), log: log}
 	if err := os.MkdirAll(o.dir, 0o700); err != nil {
 		return nil, fmt.Errorf("admin: the bans cannot be kept: %w", err)
 	}
 	o.look()
 	figures := prometheus.NewRegistry()
-	if err := figures.Register(admin.NewFigures(fronts...)); err != nil {
-		return nil, fmt.Errorf("admin: %w", err)
+	for _, c := range append([]prometheus.Collector{admin.NewFigures(fronts...)}, more...) {
+		if err := figures.Register(c); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
 	}
 	s, err := admin.Listen(address, o, figures, log)
 	if err != nil {
--- /dev/null
+++ b/internal/lifecycle/members.go
@@ -0,0 +1,244 @@
+package lifecycle
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"capersail/internal/control"
+	"capersail/internal/fleet/member"
+	"capersail/internal/wire/gossip"
+)
+
+// Members is the operator's file for relays that know each other; deploy/members.toml says what each key means.
+type Members struct {
+	Site     string   `toml:"site"`
+	Bind     string   `toml:"bind"`
+	Tell     string   `toml:"tell"`
+	Seeds    []string `toml:"seeds"`
+	Keys     string   `toml:"keys"`
+	State    string   `toml:"state"`
+	Socket   string   `toml:"socket"`
+	Zone     string   `toml:"zone"`
+	Founders int      `toml:"founders"`
+
+	keys [][]byte
+}
+
+// mostFounders bounds the places of a fleet; so many relays are far beyond what gossip is made for.
+const mostFounders = 10_000
+
+// ReadMembers reads the file and the keys that it names. The error has every problem, each with its key.
+func ReadMembers(path string) (*Members, error) {
+	m := &Members{}
+	meta, err := toml.DecodeFile(path, m)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var all []error
+	bad := func(wrong bool, format string, args ...any) {
+		if wrong {
+			all = append(all, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+		}
+	}
+	for _, key := range meta.Undecoded() {
+		bad(true, "%s: unknown key", key)
+	}
+	bad(m.Site == "" || len(m.Site) > 100, "site: from 1 to 100 bytes; relays of other sites are never merged with")
+	host, err := address(m.Bind)
+	bad(err != nil, "bind: %v", err)
+	if err == nil {
+		bad(m.Keys == "" && !net.ParseIP(host).IsLoopback(), "bind: %s is not a loopback address, and without keys no other is allowed", host)
+		bad(net.ParseIP(host).IsUnspecified() && m.Tell == "", "tell: has to be set where bind is no one address that others can reach")
+	}
+	if m.Tell != "" {
+		_, err := address(m.Tell)
+		bad(err != nil, "tell: %v", err)
+	}
+	bad(len(m.Seeds) == 0, "seeds: at least one is wanted")
+	for i, s := range m.Seeds {
+		_, err := address(s)
+		bad(err != nil, "seeds: entry %d: %v", i+1, err)
+	}
+	bad(!filepath.IsAbs(m.State), "state: %q is not a path from / on", m.State)
+	bad(m.Socket != "" && !filepath.IsAbs(m.Socket), "socket: %q is not a path from / on", m.Socket)
+	bad(len(m.Socket) > 100, "socket: over 100 bytes; the kernel takes no more")
+	bad(m.Founders < 0 || m.Founders > mostFounders, "founders: from 1 to %d, or 0 for the settings' number", mostFounders)
+	if m.Keys != "" {
+		var err error
+		m.keys, err = readSeals(m.Keys)
+		bad(err != nil, "keys: %v", err)
+	}
+	return m, errors.Join(all...)
+}
+
+// address checks host:port, the host an IP address: there is no name lookup in the way of a relay that starts.
+func address(s string) (host string, err error) {
+	host, port, err := net.SplitHostPort(s)
+	switch n, bad := strconv.Atoi(port); {
+	case err != nil:
+		return "", err
+	case net.ParseIP(host) == nil:
+		return "", fmt.Errorf("%q: %q is not an IP address", s, host)
+	case bad != nil || n < 1 || n > 65535:
+		return "", fmt.Errorf("%q: the port is not from 1 to 65535", s)
+	}
+	return host, nil
+}
+
+// readSeals reads the keys that seal packets: one a line as base64, 16, 24 or 32 bytes, the first seals. Errors never
+// show a secret.
+func readSeals(path string) (keys [][]byte, err error) {
+	text, err := readPrivate(path)
+	if err != nil {
+		return nil, err
+	}
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		key, err := base64.StdEncoding.DecodeString(line)
+		if err != nil {
+			return nil, fmt.Errorf("%s: line %d: not base64", path, i+1)
+		}
+		if n := len(key); n != 16 && n != 24 && n != 32 {
+			return nil, fmt.Errorf("%s: line %d: %d bytes; 16, 24 or 32 are wanted", path, i+1, n)
+		}
+		if slices.ContainsFunc(keys, func(k []byte) bool { return bytes.Equal(k, key) }) {
+			return nil, fmt.Errorf("%s: line %d: the key is there twice", path, i+1)
+		}
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("%s: no key", path)
+	}
+	return keys, nil
+}
+
+// doing is what a relay tells the others that it does.
+func (s *seam) doing() member.Doing {
+	switch {
+	case s.x.Leaving():
+		return member.Leaving
+	case s.x.Draining():
+		return member.Draining
+	case !s.x.HasList():
+		return member.Coming
+	}
+	return member.Serving
+}
+
+// membersPart is relays that know each other as a part.
+func membersPart(path string, c *Config, log zerolog.Logger) (*part, error) {
+	if c == nil {
+		return nil, fmt.Errorf("%s: LB_CONFIG is not set: only relays of the platform's front know each other", path)
+	}
+	m, err := ReadMembers(path)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With().Str("part", "members").Logger()
+	conf, err := m.node(c, log)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var node *gossip.Node
+	var door *control.Server
+	ctx, end := context.WithCancel(context.Background()) // of its own: it is there until the fronts have left
+	started := false
+	p := &part{name: "members"}
+	p.join = func(s *seam) {
+		if s.platform == nil {
+			return
+		}
+		conf.Clock, conf.Refresh = s.clock, s.lister.Again
+		conf.Self = func() gossip.Self {
+			return gossip.Self{Doing: s.doing(), Arrivals: s.x.Arrivals(), Held: s.x.Current(), List: s.lister.Generation()}
+		}
+		conf.Notice = s.notice
+		if node, err = gossip.New(conf); err == nil {
+			s.fleet = node
+		}
+	}
+	p.start = func(context.Context) error {
+		if err != nil {
+			return err
+		}
+		if m.Socket != "" {
+			if door, err = control.Listen(m.Socket, control.Room{Fleet: node}, log); err != nil {
+				return fmt.Errorf("%s: socket: %w", path, err)
+			}
+		}
+		started = true
+		go node.Run(ctx)
+		return nil
+	}
+	p.reload = func() (func(), error) {
+		n, err := ReadMembers(path)
+		if err != nil {
+			return nil, err
+		}
+		if (len(n.keys) > 0) != (len(m.keys) > 0) {
+			return nil, fmt.Errorf("%s: keys: sealing cannot be switched on or off while the relay runs", path)
+		}
+		return func() {
+			if len(n.keys) > 0 {
+				if err := node.SetKeys(n.keys); err != nil {
+					log.Error().Err(err).Msg("the keys stay as they were")
+				}
+			}
+			log.Info().Int("keys", len(n.keys)).Bool("needs_restart", n.fixed() != m.fixed()).Msg("reloaded members")
+		}, nil
+	}
+	p.leave = func() { node.Leave() }
+	p.figures = func() prometheus.Collector { return node.Figures() }
+	p.stop = func() {
+		if door != nil {
+			door.Close()
+			os.Remove(m.Socket)
+		}
+		if end(); started {
+			node.Wait()
+		}
+	}
+	return p, nil
+}
+
+// node is what the file and the settings make of a relay.
+func (m *Members) node(c *Config, log zerolog.Logger) (gossip.Config, error) {
+	set := c.Site.Settings
+	g := gossip.Config{Name: c.Name, Site: m.Site, Zone: m.Zone, Bind: m.Bind, Tell: m.Tell, Seeds: m.Seeds, Keys: m.keys, State: m.State,
+		Place: set.Me, Founders: m.Founders, Relays: max(set.Relays, 1), Seed: c.Seed, Log: log}
+	if g.Founders == 0 {
+		g.Founders = g.Relays
+	}
+	if g.Zone == "" {
+		for name, z := range c.Site.Zones {
+			if z == set.Zone {
+				g.Zone = name
+			}
+		}
+	}
+	if !gossip.GoodName(c.Name) {
+		return g, fmt.Errorf("name: %q of the platform's file cannot be a member's: 1 to 128 bytes that print are wanted", c.Name)
+	}
+	return g, nil
+}
+
+// fixed is what of the file a reload does not take in.
+func (m *Members) fixed() string {
+	return fmt.Sprint(m.Site, m.Bind, m.Tell, m.Seeds, m.State, m.Socket, m.Zone, m.Founders)
+}
--- a/internal/lifecycle/part.go
+++ b/internal/lifecycle/part.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"capersail/internal/fleet/member"
 	"capersail/internal/memory"
+	"capersail/internal/wire/discovery"
 	"capersail/internal/wire/platform"
 )
 
@@ -18,6 +21,8 @@
 	reload func() (apply func(), err error) // reads and checks first; nothing has changed if it fails
 	leave  func()                           // after the fronts have left
 	stop   func()                           // at the very end
+	// figures are shown on the second address, where that is on.
+	figures func() prometheus.Collector
 }
 
 // seam is a front as a part may join it.
@@ -27,11 +32,32 @@
 	x        *memory.Exchange
 	clock    *memory.Clock
 	platform *platform.Front // nil for other fronts
+	site     *memory.Site
+	lister   *discovery.Client // nil for other fronts
+	fleet    memory.Fleet      // a part's to set; nil where relays do not know each other
+	notices  []func(member.Changed)
+}
+
+// notice tells the parts that asked for it of a change in the fleet.
+func (s *seam) notice(c member.Changed) {
+	for _, f := range s.notices {
+		f(c)
+	}
 }
 
 // partList is the parts that are on.
 type partList []*part
 
+// figures are those of all parts.
+func (all partList) figures() (out []prometheus.Collector) {
+	for _, p := range all {
+		if p.figures != nil {
+			out = append(out, p.figures())
+		}
+	}
+	return out
+}
+
 // parts reads the files of all parts that are on. It is the one place where the parts are listed.
 func parts(from Sources, c *Config, log zerolog.Logger) (all partList, err error) {
 	for _, p := range []struct {
@@ -40,6 +66,7 @@
 	}{
 		{from.Resume, resumePart},
 		{from.Timeline, timelinePart},
+		{from.Members, membersPart},
 	} {
 		if p.file == "" {
 			continue
--- a/internal/lifecycle/resume.go
+++ b/internal/lifecycle/resume.go
@@ -78,8 +78,17 @@
 	return t, nil
 }
 
-// readKeys reads a key file. Its mode is asked of the file that is read, not of its name.
+// readKeys reads a key file of tokens.
 func readKeys(path string) (*token.Ring, error) {
+	text, err := readPrivate(path)
+	if err != nil {
+		return nil, err
+	}
+	return token.ParseKeys(text)
+}
+
+// readPrivate reads a file with secrets. Its mode is asked of the file that is read, not of its name.
+func readPrivate(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -92,11 +101,7 @@
 	if err := token.CheckMode(info); err != nil {
 		return nil, err
 	}
-	text, err := io.ReadAll(io.LimitReader(f, token.MaxKeyFile))
-	if err != nil {
-		return nil, err
-	}
-	return token.ParseKeys(text)
+	return io.ReadAll(io.LimitReader(f, token.MaxKeyFile))
 }
 
 // closeClaims is how long the end of the session with the claim service is waited for, in ms; it ends by itself
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -80,6 +80,7 @@
 	Operator string              // the operator's file for the XMPP front; off if empty
 	Resume   string              // the operator's file for moving with a token; off if empty
 	Timeline string              // the operator's file for time lines; off if empty
+	Members  string              // the operator's file for relays that know each other; off if empty
 }
 
 // Run serves until SIGTERM or SIGINT, then moves everyone, answers what is held, and returns. At SIGHUP
@@ -131,7 +132,7 @@
 		return err
 	}
 	if c != nil && c.Admin != "" {
-		o, err := startAdmin(ctx, c.Admin, relays, []admin.Front{{Source: relays[0].x, Classes: classNames(c.Site)}}, log)
+		o, err := startAdmin(ctx, c.Admin, relays, []admin.Front{{Source: relays[0].x, Classes: classNames(c.Site)}}, all.figures(), log)
 		if err != nil {
 			return err
 		}
@@ -231,10 +232,13 @@
 	}
 	door := gate.New(clock, room(c.Sockets, c.Admin != ""), log)
 	front := &platform.Front{X: x, Site: c.Site, Gate: door}
-	all.join(&seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front})
+	joint := &seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front, site: c.Site, lister: lister}
+	all.join(joint)
 	x.Members(decide.Cached, c.Known.Entries)
 	go lister.Run(ctx, c.Known.Version)
-	go memory.NewCore(x, c.Seed, lister, log).Run(ctx)
+	core := memory.NewCore(x, c.Seed, lister, log)
+	core.Fleet = joint.fleet
+	go core.Run(ctx)
 	r := &relay{x: x, listener: l, inherited: inherited, failed: make(chan error, 1), longest: longest(c.Site)}
 	r.reload = func() error {
 		n, err := ReadConfig(from.Getenv, log)
--- a/internal/lifecycle/timeline.go
+++ b/internal/lifecycle/timeline.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/control"
+	"capersail/internal/fleet/member"
 	"capersail/internal/observe/timeline"
 	"capersail/internal/observe/watch"
 	"capersail/internal/store"
@@ -92,7 +93,9 @@
 				stores = append(stores, one)
 				c.Store = one
 			}
-			watchers = append(watchers, watch.New(c, s.x, log))
+			w := watch.New(c, s.x, log)
+			watchers = append(watchers, w)
+			s.notices = append(s.notices, func(m member.Changed) { w.Note(m.Name, m.State, m.Cause) })
 		},
 		start: func(context.Context) error {
 			started = true
@@ -107,7 +110,7 @@
 			if t.Socket == "" {
 				return nil
 			}
-			if door, err = control.Listen(t.Socket, watchers, log); err != nil {
+			if door, err = control.Listen(t.Socket, control.Room{Watchers: watchers}, log); err != nil {
 				return fmt.Errorf("%s: socket: %w", path, err)
 			}
 			return nil
--- a/internal/observe/depart/depart.go
+++ b/internal/observe/depart/depart.go
@@ -29,13 +29,16 @@
 	Uneven                      // loaded far beyond its peers
 	Refusing                    // listed, but full to whoever comes
 	NoList                      // of the fleet: the list is out of reach
-	kinds
+	kinds                       // that are found here
 )
 
-var names = [kinds]string{"silent", "unreachable", "late answers", "frozen report", "errors", "slow", "restarted unsaid",
-	"drain unsaid", "flapping", "uneven load", "refusing", "list out of reach"}
+// Relays is of the fleet: another relay has come, failed, left or changed. It is told, not found here.
+const Relays = kinds
 
-func (k Kind) String() string { return names[min(k, kinds-1)] }
+var names = [kinds + 1]string{"silent", "unreachable", "late answers", "frozen report", "errors", "slow", "restarted unsaid",
+	"drain unsaid", "flapping", "uneven load", "refusing", "list out of reach", "relays"}
+
+func (k Kind) String() string { return names[min(k, Relays)] }
 
 // ParseKind finds a kind by its name.
 func ParseKind(name string) (Kind, bool) {
--- a/internal/observe/watch/watch.go
+++ b/internal/observe/watch/watch.go
@@ -143,9 +143,11 @@
 // changed notes an event that has begun or ended.
 func (w *Watcher) changed(e depart.Event) {
 	line := w.log.Info().Str("server", e.Server).Str("event", e.Name).Str("evidence", e.Evidence)
-	if e.To != 0 {
+	switch {
+	case e.Kind == depart.Relays: // whoever heard of it has a line for it
+	case e.To != 0:
 		line.Msg("departure ended")
-	} else {
+	default:
 		line.Float64("confidence", e.Confidence).Msg("departure")
 	}
 	i := slices.IndexFunc(w.events, func(o depart.Event) bool {
@@ -172,6 +174,21 @@
 	}
 }
 
+// Note puts word of another relay on the list of events: what it is now, and how that is known.
+func (w *Watcher) Note(relay, state, cause string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.x.Clock.Unix(w.x.Clock.Now())
+	what := "relay " + relay + ": " + state
+	if relay == "" {
+		what = "this relay: " + state
+	}
+	if cause != "" {
+		what += " (" + cause + ")"
+	}
+	w.changed(depart.Event{Kind: depart.Relays, Name: depart.Relays.String(), From: at, To: at, Evidence: what, Confidence: 1})
+}
+
 // The store's buckets.
 const (
 	bucketBands  = "bands"
--- /dev/null
+++ b/internal/wire/gossip/envelope.go
@@ -0,0 +1,114 @@
+package gossip
+
+import (
+	"errors"
+	"math"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"capersail/internal/fleet/member"
+)
+
+// kind says what an envelope holds.
+type kind uint8
+
+const (
+	kindDigest  kind = 1
+	kindMessage kind = 2
+)
+
+// envelope is what goes over the wire. A digest's Seq is the digest's own, so that whoever passes it on changes
+// nothing; a message's rises with each, so that one that comes twice is told.
+type envelope struct {
+	_           struct{} `cbor:",toarray"`
+	Version     uint8
+	From        string
+	Incarnation uint64
+	Seq         uint64
+	Kind        kind
+	Body        cbor.RawMessage
+}
+
+const (
+	envelopeVersion = 1
+	longestName     = 128
+)
+
+func seal(from string, incarnation, seq uint64, k kind, body any) ([]byte, error) {
+	text, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(envelope{Version: envelopeVersion, From: from, Incarnation: incarnation, Seq: seq, Kind: k, Body: text})
+}
+
+// open reads an envelope. A later version may hold more, after these fields; what it changes has to be another kind.
+func open(text []byte) (e envelope, err error) {
+	if len(text) > mostBody {
+		return e, errors.New("oversized")
+	}
+	if err := cbor.Unmarshal(text, &e); err != nil {
+		return e, errors.New("no envelope")
+	}
+	if e.Version < 1 || !GoodName(e.From) || e.Incarnation == 0 {
+		return e, errors.New("an envelope that makes no sense")
+	}
+	return e, nil
+}
+
+// GoodName tells whether a relay may have the name.
+func GoodName(s string) bool {
+	return s != "" && len(s) <= longestName && !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f || r == 0xfffd })
+}
+
+// sane tells whether a digest could be true.
+func sane(d member.Digest) bool {
+	return d.Version >= 1 && d.Rate >= 0 && !math.IsNaN(d.Rate) && d.Rate < 1e9 && d.Held >= 0 && d.Founders >= 1 && d.Founders <= 1<<20 &&
+		d.Place < d.Founders && len(d.Zone) <= longestName
+}
+
+// good tells whether a message could have been sent by a Keeper.
+func good(m member.Message) bool {
+	if math.IsNaN(m.At) || math.IsInf(m.At, 0) || len(m.Gone) > mostPeers {
+		return false
+	}
+	v := m.View
+	if v == nil {
+		return m.Kind != member.Held && m.Kind != member.Propose
+	}
+	return v.Check() == nil
+}
+
+// window remembers which numbers of a sender have come: all up to 64 below the highest.
+type window struct {
+	incarnation, high, seen uint64
+}
+
+// take tells whether a number is new, and notes it.
+func (w *window) take(incarnation, seq uint64) bool {
+	switch {
+	case incarnation < w.incarnation:
+		return false
+	case incarnation > w.incarnation:
+		*w = window{incarnation: incarnation}
+	}
+	switch {
+	case seq > w.high:
+		if by := seq - w.high; by < 64 {
+			w.seen = w.seen<<by | 1
+		} else {
+			w.seen = 1
+		}
+		w.high = seq
+		return true
+	case w.high-seq >= 64:
+		return false
+	}
+	bit := uint64(1) << (w.high - seq)
+	if w.seen&bit != 0 {
+		return false
+	}
+	w.seen |= bit
+	return true
+}
--- /dev/null
+++ b/internal/wire/gossip/figures.go
@@ -0,0 +1,102 @@
+package gossip
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"capersail/internal/fleet/member"
+)
+
+// Report is what this relay knows of the fleet.
+func (n *Node) Report() member.Report {
+	n.mu.Lock()
+	r := n.keeper.Report(n.now())
+	n.mu.Unlock()
+	r.Site, r.Dropped = n.cfg.Site, map[string]uint64{}
+	for i := range n.drops.total {
+		if c := n.drops.total[i].Load(); c > 0 {
+			r.Dropped[reasonNames[i]] = c
+		}
+	}
+	return r
+}
+
+// Traffic is what has gone out and come in, in bytes of packets.
+func (n *Node) Traffic() (out, in uint64) { return n.net.bytesOut.Load(), n.net.bytesIn.Load() }
+
+// figures is the collector of what this relay knows of the others. Each is read when it is asked for.
+//
+//	relay_members{state}                 gauge    relays by state, this one as "here"
+//	relay_members_in_view                gauge    members of the view
+//	relay_members_epoch                  gauge    of the view
+//	relay_members_phase{phase}           gauge    1 for the phase that is on
+//	relay_members_agreed_seconds         gauge    since the view was agreed last; -1 for never
+//	relay_members_share                  gauge    of a budget of the fleet, 0 to 1
+//	relay_members_dropped_total{reason}  counter  packets and messages dropped
+//	relay_members_bytes_total{way}       counter  bytes of packets, out and in
+type figures struct {
+	n                                                            *Node
+	members, inView, epoch, phase, agreed, share, dropped, bytes *prometheus.Desc
+}
+
+// Figures returns the collector.
+func (n *Node) Figures() prometheus.Collector {
+	d := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("relay_members"+name, help, labels, nil)
+	}
+	return &figures{n: n,
+		members: d("", "Relays known, by state.", "state"),
+		inView:  d("_in_view", "Members of the view."),
+		epoch:   d("_epoch", "Epoch of the view."),
+		phase:   d("_phase", "How far the view is agreed: 1 for the phase that is on.", "phase"),
+		agreed:  d("_agreed_seconds", "Since the view was agreed last, -1 for never."),
+		share:   d("_share", "This relay's share of a budget of the fleet."),
+		dropped: d("_dropped_total", "Packets and messages dropped, by reason.", "reason"),
+		bytes:   d("_bytes_total", "Bytes of packets between relays.", "way"),
+	}
+}
+
+// Describe is the collector's.
+func (f *figures) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{f.members, f.inView, f.epoch, f.phase, f.agreed, f.share, f.dropped, f.bytes} {
+		ch <- d
+	}
+}
+
+// Collect is the collector's.
+func (f *figures) Collect(ch chan<- prometheus.Metric) {
+	r := f.n.Report()
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	states, in := map[string]float64{"here": 0, "alive": 0, "suspected": 0, "failed": 0, "left": 0}, 0.0
+	for _, m := range r.Members {
+		states[m.State]++
+		if m.Member {
+			in++
+		}
+	}
+	for s, v := range states {
+		gauge(f.members, v, s)
+	}
+	gauge(f.inView, in)
+	gauge(f.epoch, float64(r.Epoch))
+	for p := member.Starting; p <= member.CutOff; p++ {
+		on := 0.0
+		if p.String() == r.Phase {
+			on = 1
+		}
+		gauge(f.phase, on, p.String())
+	}
+	agreed := -1.0
+	if r.AgreedMs >= 0 {
+		agreed = r.AgreedMs / 1000
+	}
+	gauge(f.agreed, agreed)
+	gauge(f.share, r.Share)
+	for i := range f.n.drops.total {
+		ch <- prometheus.MustNewConstMetric(f.dropped, prometheus.CounterValue, float64(f.n.drops.total[i].Load()), reasonNames[i])
+	}
+	out, back := f.n.Traffic()
+	ch <- prometheus.MustNewConstMetric(f.bytes, prometheus.CounterValue, float64(out), "out")
+	ch <- prometheus.MustNewConstMetric(f.bytes, prometheus.CounterValue, float64(back), "in")
+}
--- /dev/null
+++ b/internal/wire/gossip/gossip.go
@@ -0,0 +1,612 @@
+// Package gossip is the driver round internal/fleet/member: it lets relays hear of each other by hashicorp/memberlist,
+// carries what their Keepers say, and keeps what a Keeper wants kept. It decides nothing.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/fleet/member"
+	"capersail/internal/memory"
+)
+
+const (
+	lookEvery    = 250.0 // ms between two looks at what this relay does
+	rateOver     = 2000.0
+	bindEvery    = 5 * time.Second // a taken port is tried again
+	rejoinEvery  = 700 * time.Millisecond
+	seedsEvery   = 5 // so many rejoins, the last of which goes to a seed
+	inboxRoom    = 4096
+	reliableRoom = 32   // messages over packet size under way at once
+	packetRoom   = 1100 // bytes of a message that goes as one packet; more goes over TCP
+	mostPeers    = 4096 // names known at once
+	mostBody     = 1 << 18
+	leaveWithin  = 400 * time.Millisecond
+)
+
+// Self is what this relay does now, as whoever starts the Node knows it. It must not block.
+type Self struct {
+	Doing    member.Doing
+	Arrivals uint64 // since the process started
+	Held     int
+	List     int64
+}
+
+// Config is what a Node is told.
+type Config struct {
+	Name  string
+	Site  string // relays of other sites are never merged with
+	Zone  string
+	Bind  string // host:port, for UDP and TCP
+	Tell  string // host:port that others are told, "" for Bind
+	Seeds []string
+	Keys  [][]byte // the first seals; none binds loopback only
+	State string   // the file that the Keeper's record is kept in
+	Place int
+	// Founders is how many places view 0 has, Relays the settings' number.
+	Founders, Relays int
+	Seed             uint64
+	Clock            *memory.Clock
+	Self             func() Self
+	Refresh          func()               // asks for the list of servers out of turn
+	Notice           func(member.Changed) // is told of each change; nil for nobody
+	Log              zerolog.Logger
+}
+
+// Node is one relay among the others.
+type Node struct {
+	cfg   Config
+	log   zerolog.Logger
+	disk  *disk
+	ring  *memberlist.Keyring
+	queue *memberlist.TransmitLimitedQueue
+	inbox chan member.Event
+	drops *drops
+	net   *traffic
+	big   chan struct{} // a token for each message over TCP under way
+
+	mu     sync.Mutex // held for each step of the Keeper, and by Hold while decisions are made
+	keeper *member.Keeper
+
+	list    atomic.Pointer[memberlist.Memberlist]
+	seq     atomic.Uint64
+	stopped chan struct{}
+
+	book struct {
+		sync.Mutex
+		nodes   map[string]*memberlist.Node // by name, as last heard of
+		digests map[string][]byte           // by name, as they came
+		replays map[string]*window
+	}
+
+	arrivals uint64
+	rate     float64
+	rateAt   float64
+}
+
+// New reads the record and returns a Node that does not run yet. A record that cannot be read or kept is no reason
+// not to serve: the relay then promises nothing, and goes on by the settings' number.
+func New(c Config) (*Node, error) {
+	n := &Node{cfg: c, log: c.Log, inbox: make(chan member.Event, inboxRoom), drops: newDrops(c.Log), net: &traffic{},
+		big: make(chan struct{}, reliableRoom), stopped: make(chan struct{})}
+	n.book.nodes, n.book.digests, n.book.replays = map[string]*memberlist.Node{}, map[string][]byte{}, map[string]*window{}
+	n.queue = &memberlist.TransmitLimitedQueue{NumNodes: n.count, RetransmitMult: 3}
+	if len(c.Keys) > 0 {
+		ring, err := memberlist.NewKeyring(c.Keys, c.Keys[0])
+		if err != nil {
+			return nil, fmt.Errorf("keys: %w", err)
+		}
+		n.ring = ring
+	}
+	var rec member.Record
+	var err error
+	n.disk, rec, err = openDisk(c.State, c.Site, c.Name)
+	if err != nil {
+		n.log.Error().Err(err).Msg("what the relay has promised cannot be kept; it takes no part in choices and no share but its own")
+	}
+	n.keeper = member.New(c.Clock.Now(), member.Config{Name: c.Name, Place: c.Place, Founders: c.Founders, Relays: c.Relays, Seed: c.Seed}, rec)
+	if err != nil {
+		n.keeper.Handle(c.Clock.Now(), member.Unsaved{}, nil)
+	}
+	return n, nil
+}
+
+// Run takes part until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.stopped)
+	var all sync.WaitGroup
+	all.Go(func() { n.mesh(ctx) })
+	n.mu.Lock()
+	acts := n.keeper.Start(n.now(), nil)
+	n.mu.Unlock()
+	n.do(acts)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for looked := math.Inf(-1); ; {
+		select {
+		case <-ctx.Done():
+			all.Wait()
+			n.disk.close()
+			return
+		case ev := <-n.inbox:
+			n.handle(ev)
+		case <-timer.C:
+			n.handle(member.Tick{})
+		}
+		if now := n.now(); now >= looked+lookEvery {
+			looked = now
+			n.handle(n.own(now))
+		}
+		n.mu.Lock()
+		next := n.keeper.Next()
+		n.mu.Unlock()
+		timer.Reset(memory.Duration(max(min(next, looked+lookEvery)-n.now(), 1)))
+	}
+}
+
+func (n *Node) now() float64 { return n.cfg.Clock.Now() }
+
+// own is what this relay does, with the rate at which requests come, smoothed over rateOver.
+func (n *Node) own(now float64) member.Own {
+	s := n.cfg.Self()
+	if n.rateAt > 0 && now > n.rateAt {
+		part := 1 - math.Exp(-(now-n.rateAt)/rateOver)
+		n.rate += part * (float64(s.Arrivals-n.arrivals)/(now-n.rateAt)*1000 - n.rate)
+	}
+	n.arrivals, n.rateAt = s.Arrivals, now
+	return member.Own{Doing: s.Doing, Zone: n.cfg.Zone, Rate: math.Round(n.rate*100) / 100, Held: s.Held, List: s.List}
+}
+
+// post queues an event. When there is no room it is dropped: all that is said is said again.
+func (n *Node) post(ev member.Event) {
+	select {
+	case n.inbox <- ev:
+	default:
+		n.drops.count(overrun, "")
+	}
+}
+
+// handle lets the Keeper act, then carries out what it wants, in order.
+func (n *Node) handle(ev member.Event) {
+	n.mu.Lock()
+	acts := n.keeper.Handle(n.now(), ev, nil)
+	n.mu.Unlock()
+	n.history()
+	n.do(acts)
+}
+
+func (n *Node) do(acts []member.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case member.Save:
+			if err := n.disk.save(a.Record); err != nil {
+				n.log.Error().Err(err).Msg("what the relay has promised cannot be kept; it takes no part in choices any more")
+				n.handle(member.Unsaved{})
+				return // what follows from it is not done
+			}
+		case member.Send:
+			n.send(a.To, a.Message)
+		case member.Publish:
+			n.publish(a.Digest)
+		case member.Changed:
+			n.log.Info().Str("what", a.What).Str("member", a.Name).Str("state", a.State).Str("cause", a.Cause).Msg("fleet")
+			if n.cfg.Notice != nil {
+				n.cfg.Notice(a)
+			}
+		case member.Refresh:
+			n.log.Info().Int64("generation", a.Generation).Msg("a peer has a newer list of servers; asking discovery")
+			if n.cfg.Refresh != nil {
+				n.cfg.Refresh()
+			}
+		}
+	}
+}
+
+// Hold returns what the module is to reckon with at the moment, by the caller's clock, and keeps it so until Release.
+func (n *Node) Hold(now float64) decide.Fleet {
+	n.mu.Lock()
+	own := n.now()
+	r := n.keeper.Reckoning(own)
+	f := decide.Fleet{Relays: r.Relays, Share: r.Share, Others: r.Others}
+	if !math.IsInf(r.Until, 1) {
+		f.Until = memory.Duration(now + r.Until - own)
+	}
+	return f
+}
+
+// Release ends a Hold.
+func (n *Node) Release() { n.mu.Unlock() }
+
+// Reckoning is what this relay reckons with now.
+func (n *Node) Reckoning() member.Reckoning {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.keeper.Reckoning(n.now())
+}
+
+// SetKeys rotates the keys while the Node runs: the first seals from now on, all open.
+func (n *Node) SetKeys(keys [][]byte) error {
+	if n.ring == nil || len(keys) == 0 {
+		return errors.New("sealing cannot be switched on or off while the relay runs")
+	}
+	for _, k := range keys {
+		if err := n.ring.AddKey(k); err != nil {
+			return err
+		}
+	}
+	if err := n.ring.UseKey(keys[0]); err != nil {
+		return err
+	}
+	for _, k := range n.ring.GetKeys() {
+		if !slices.ContainsFunc(keys, func(o []byte) bool { return string(o) == string(k) }) {
+			if err := n.ring.RemoveKey(k); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Leave says that this relay goes, and waits a moment for the word to spread. The relay takes no share from here on.
+func (n *Node) Leave() {
+	if l := n.list.Load(); l != nil {
+		if err := l.Leave(leaveWithin); err != nil {
+			n.log.Info().Err(err).Msg("not all peers may have heard that this relay leaves")
+		}
+	}
+}
+
+// Wait waits for the end of Run.
+func (n *Node) Wait() { <-n.stopped }
+
+// count is how many relays there are, for how often a digest is passed on.
+func (n *Node) count() int {
+	if l := n.list.Load(); l != nil {
+		return max(l.NumMembers(), 1)
+	}
+	return 1
+}
+
+// mesh brings memberlist up, and joins it to the others, until the context ends.
+func (n *Node) mesh(ctx context.Context) {
+	var list *memberlist.Memberlist
+	for said := false; list == nil; {
+		var err error
+		if list, err = n.create(); err == nil {
+			break
+		}
+		if !said {
+			n.log.Error().Err(err).Str("bind", n.cfg.Bind).Msg("members: cannot listen; serving alone and trying again")
+			said = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(bindEvery):
+		}
+	}
+	n.list.Store(list)
+	n.log.Info().Str("bind", n.cfg.Bind).Bool("sealed", n.ring != nil).Msg("members: listening")
+	defer func() {
+		if err := list.Shutdown(); err != nil {
+			n.log.Info().Err(err).Msg("members: end")
+		}
+	}()
+	said := false
+	for round := 0; ; round++ {
+		if target := n.missing(list, round); target != "" {
+			if _, err := list.Join([]string{target}); err != nil && !said && list.NumMembers() == 1 {
+				said = true
+				n.log.Warn().Str("error", strings.Join(strings.Fields(err.Error()), " ")).Str("seed", target).Msg("members: seed out of reach; serving alone and trying again")
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rejoinEvery/2 + time.Duration(rand.Int64N(int64(rejoinEvery)))):
+		}
+	}
+}
+
+// missing is an address to join: that of a relay that was there and is not, or a seed that nobody answers at. After a
+// cut both sides have given each other up, and only a new join heals that.
+func (n *Node) missing(list *memberlist.Memberlist, round int) string {
+	there := map[string]bool{}
+	for _, m := range list.Members() {
+		there[m.Address()] = true
+	}
+	var lost []string
+	if list.NumMembers() == 1 || round%seedsEvery == 0 {
+		for _, s := range n.cfg.Seeds {
+			if !there[s] {
+				lost = append(lost, s)
+			}
+		}
+	}
+	if len(lost) == 0 {
+		n.book.Lock()
+		for _, m := range n.book.nodes {
+			if !there[m.Address()] {
+				lost = append(lost, m.Address())
+			}
+		}
+		n.book.Unlock()
+	}
+	if len(lost) == 0 {
+		return ""
+	}
+	return lost[rand.IntN(len(lost))]
+}
+
+// create starts memberlist on its transport. The times suit relays of one site: a relay that has died is failed after
+// about 2 s, one that loses a fifth of its packets is not.
+func (n *Node) create() (*memberlist.Memberlist, error) {
+	host, text, err := net.SplitHostPort(n.cfg.Bind)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Logger = n.drops.logger()
+	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: c.Logger})
+	if err != nil {
+		return nil, err
+	}
+	c.Name, c.Label, c.Keyring = n.cfg.Name, n.cfg.Site, n.ring
+	c.Transport = n.seam(count(transport, n.net))
+	c.BindAddr, c.BindPort = host, transport.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	if n.cfg.Tell != "" {
+		told, port, _ := net.SplitHostPort(n.cfg.Tell)
+		c.AdvertiseAddr = told
+		c.AdvertisePort, _ = strconv.Atoi(port)
+	}
+	c.TCPTimeout = time.Second
+	c.ProbeInterval, c.ProbeTimeout, c.IndirectChecks = 500*time.Millisecond, 200*time.Millisecond, 3
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
+	c.AwarenessMaxMultiplier = 3
+	c.RetransmitMult, c.GossipInterval, c.GossipNodes = 3, 100*time.Millisecond, 3
+	c.PushPullInterval, c.GossipToTheDeadTime = 15*time.Second, 15*time.Second
+	c.DeadNodeReclaimTime = time.Second
+	c.EnableCompression = false
+	c.Delegate, c.Events, c.Alive, c.Conflict = (*delegate)(n), (*delegate)(n), (*delegate)(n), (*delegate)(n)
+	list, err := memberlist.Create(c)
+	if err != nil {
+		return nil, errors.Join(err, c.Transport.Shutdown())
+	}
+	return list, nil
+}
+
+// send carries a message to a peer: as one packet, or over TCP where it is too large for that.
+func (n *Node) send(to string, m member.Message) {
+	list := n.list.Load()
+	n.book.Lock()
+	node := n.book.nodes[to]
+	n.book.Unlock()
+	if list == nil || node == nil {
+		return
+	}
+	n.mu.Lock()
+	incarnation := n.keeper.Incarnation()
+	n.mu.Unlock()
+	text, err := seal(n.cfg.Name, incarnation, n.seq.Add(1), kindMessage, m)
+	if err != nil {
+		n.log.Error().Err(err).Msg("members: a message cannot be written")
+		return
+	}
+	if len(text) <= packetRoom {
+		if err := list.SendBestEffort(node, text); err != nil {
+			n.drops.count(unsent, err.Error())
+		}
+		return
+	}
+	select {
+	case n.big <- struct{}{}:
+	default:
+		n.drops.count(unsent, "too many large messages under way")
+		return
+	}
+	go func() {
+		defer func() { <-n.big }()
+		if err := list.SendReliable(node, text); err != nil {
+			n.drops.count(unsent, err.Error())
+		}
+	}()
+}
+
+// publish tells this relay's digest to all.
+func (n *Node) publish(d member.Digest) {
+	text, err := seal(n.cfg.Name, d.Incarnation, d.Seq, kindDigest, d)
+	if err != nil {
+		n.log.Error().Err(err).Msg("members: the digest cannot be written")
+		return
+	}
+	n.book.Lock()
+	n.book.digests[n.cfg.Name] = text
+	n.book.Unlock()
+	n.queue.QueueBroadcast(&news{n.cfg.Name, text})
+}
+
+// news is a digest on its way round; a newer one of the same relay takes its place.
+type news struct {
+	name string
+	text []byte
+}
+
+func (b *news) Name() string { return b.name }
+func (b *news) Invalidates(o memberlist.Broadcast) bool {
+	p, ok := o.(*news)
+	return ok && p.name == b.name
+}
+func (b *news) Message() []byte { return b.text }
+func (b *news) Finished()       {}
+
+// take opens what a peer has sent. forward says that a digest is to be passed on.
+func (n *Node) take(text []byte, forward bool) {
+	e, err := open(text)
+	switch {
+	case err != nil:
+		n.drops.count(malformed, err.Error())
+		return
+	case e.From == n.cfg.Name:
+		return
+	}
+	switch e.Kind {
+	case kindDigest:
+		var d member.Digest
+		if err := cbor.Unmarshal(e.Body, &d); err != nil || !sane(d) || d.Incarnation != e.Incarnation || d.Seq != e.Seq {
+			n.drops.count(malformed, "a digest that makes no sense")
+			return
+		}
+		if n.newer(e, text) {
+			n.post(member.Told{Name: e.From, Digest: d})
+			if forward {
+				n.queue.QueueBroadcast(&news{e.From, text})
+			}
+		}
+	case kindMessage:
+		var m member.Message
+		if err := cbor.Unmarshal(e.Body, &m); err != nil || !good(m) || m.From != e.Incarnation {
+			n.drops.count(malformed, "a message that makes no sense")
+			return
+		}
+		if !n.fresh(e) {
+			n.drops.count(replayed, e.From)
+			return
+		}
+		n.post(member.Got{From: e.From, Message: m})
+	default: // of a later version
+		n.drops.count(unknown, strconv.Itoa(int(e.Kind)))
+	}
+}
+
+// newer notes a digest, and tells whether it is news.
+func (n *Node) newer(e envelope, text []byte) bool {
+	n.book.Lock()
+	defer n.book.Unlock()
+	if old, ok := n.book.digests[e.From]; ok {
+		if o, err := open(old); err == nil && (o.Incarnation > e.Incarnation || o.Incarnation == e.Incarnation && o.Seq >= e.Seq) {
+			return false
+		}
+	} else if len(n.book.digests) >= mostPeers {
+		return false
+	}
+	n.book.digests[e.From] = text
+	return true
+}
+
+// fresh tells whether a message has not come before.
+func (n *Node) fresh(e envelope) bool {
+	n.book.Lock()
+	defer n.book.Unlock()
+	w := n.book.replays[e.From]
+	if w == nil {
+		if len(n.book.replays) >= mostPeers {
+			return false
+		}
+		w = &window{}
+		n.book.replays[e.From] = w
+	}
+	return w.take(e.Incarnation, e.Seq)
+}
+
+// delegate is the Node as memberlist sees it. Its methods must not block.
+type delegate Node
+
+// NodeMeta is memberlist's: digests are carried apart, at a rate of their own.
+func (d *delegate) NodeMeta(int) []byte { return nil }
+
+// NotifyMsg is memberlist's: a message, or a digest that is passed on.
+func (d *delegate) NotifyMsg(b []byte) { (*Node)(d).take(slices.Clone(b), true) }
+
+// GetBroadcasts is memberlist's.
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is memberlist's: all digests known, for a relay that joins or has missed some.
+func (d *delegate) LocalState(bool) []byte {
+	d.book.Lock()
+	defer d.book.Unlock()
+	all := make([][]byte, 0, len(d.book.digests))
+	for _, text := range d.book.digests {
+		all = append(all, text)
+	}
+	text, err := cbor.Marshal(all)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// MergeRemoteState is memberlist's.
+func (d *delegate) MergeRemoteState(b []byte, _ bool) {
+	var all [][]byte
+	if err := cbor.Unmarshal(b, &all); err != nil || len(all) > mostPeers {
+		d.drops.count(malformed, "a state that makes no sense")
+		return
+	}
+	for _, text := range all {
+		(*Node)(d).take(text, false)
+	}
+}
+
+func (d *delegate) note(m *memberlist.Node, w member.Word) {
+	c := *m
+	d.book.Lock()
+	if d.book.nodes[m.Name] != nil || len(d.book.nodes) < mostPeers {
+		d.book.nodes[m.Name] = &c
+	}
+	if w == member.Left { // it is not missed
+		delete(d.book.nodes, m.Name)
+	}
+	d.book.Unlock()
+	(*Node)(d).post(member.Heard{Name: m.Name, Word: w})
+}
+
+// NotifyJoin is memberlist's.
+func (d *delegate) NotifyJoin(m *memberlist.Node) { d.note(m, member.Alive) }
+
+// NotifyUpdate is memberlist's.
+func (d *delegate) NotifyUpdate(m *memberlist.Node) { d.note(m, member.Alive) }
+
+// NotifyLeave is memberlist's, for one that failed and for one that said so.
+func (d *delegate) NotifyLeave(m *memberlist.Node) {
+	if m.State == memberlist.StateLeft {
+		d.note(m, member.Left)
+	} else {
+		d.note(m, member.Failed)
+	}
+}
+
+// NotifyAlive is memberlist's: a name that nobody could have is no peer.
+func (d *delegate) NotifyAlive(m *memberlist.Node) error {
+	if !GoodName(m.Name) {
+		d.drops.count(malformed, "a name that makes no sense")
+		return errors.New("bad name")
+	}
+	return nil
+}
+
+// NotifyConflict is memberlist's: two relays of one name.
+func (d *delegate) NotifyConflict(old, other *memberlist.Node) {
+	d.drops.count(conflict, fmt.Sprintf("%s at %s and %s", old.Name, old.Address(), other.Address()))
+}
