--- /dev/null
+++ b/internal/fault/rules.go
@@ -0,0 +1,37 @@
+// Package fault is where tests put faults into a process: between it and the other relays, and into its clock. It is
+// compiled in by the build tag faults only; the shipped program has none of it.
+//
+// The file that CAPERSAIL_FAULTS names holds the Rules, read again as it changes; CAPERSAIL_HISTORY names a file to
+// which the process appends what it does, on the machine's one monotonic clock.
+package fault
+
+// Rules are the faults of one process.
+type Rules struct {
+	Seed    uint64   `json:"seed"`
+	Cut     []string `json:"cut"`      // addresses that nothing gets to
+	CutFrom []string `json:"cut_from"` // addresses that nothing gets here from
+	Loss    float64  `json:"loss"`     // part of the packets that get lost
+	Twice   float64  `json:"twice"`    // part that comes twice
+	DelayMs float64  `json:"delay_ms"` // each packet takes up to so long: they overtake each other
+	Late    float64  `json:"late"`     // part that is still under way for LateMs
+	LateMs  float64  `json:"late_ms"`
+	Rate    float64  `json:"rate"`    // of the clock; 0 for 1
+	StepMs  float64  `json:"step_ms"` // by which the clock of the day is off from the start
+}
+
+// Noted is a line of the history: what a relay reckons with from T on.
+type Noted struct {
+	T           float64  `json:"t"` // ms of the machine's monotonic clock
+	Name        string   `json:"name"`
+	Incarnation uint64   `json:"inc"`
+	Epoch       uint64   `json:"epoch"`
+	Hash        uint64   `json:"hash"`
+	Phase       string   `json:"phase"`
+	Settled     bool     `json:"settled"`
+	Share       float64  `json:"share"`
+	Until       float64  `json:"until"` // on the same clock, 0 for no end
+	Relays      int      `json:"relays"`
+	Members     []string `json:"members"`
+	// Event is what the rig did to the process: kill, start, stop, cont, term; then nothing else is set.
+	Event string `json:"event,omitempty"`
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -689,8 +689,10 @@
 		k.phase, cause = Alone, "nobody is heard"
 	case k.view.Epoch == 0:
 		k.phase, cause = Starting, "no view is agreed yet"
-	case seat.In && k.now >= k.trusted && k.now < k.began+graceAtStart, !seat.In && k.reach() >= k.view.majority():
+	case !seat.In && k.reach() >= k.view.majority():
 		k.phase, cause = Starting, "not in the view"
+	case seat.In && k.now >= k.trusted && k.now < k.adopted+graceAtStart && k.reach() >= k.view.majority():
+		k.phase, cause = Settling, "its grant is awaited"
 	case k.reach() < k.view.majority():
 		k.phase, cause = CutOff, "too few voters are heard"
 	case seat.In && k.now >= k.trusted:
@@ -781,6 +783,9 @@
 // Incarnation is this process's.
 func (k *Keeper) Incarnation() uint64 { return k.rec.Incarnation }
 
+// Hash is the view's.
+func (k *Keeper) Hash() uint64 { return k.hash }
+
 // View returns the view held.
 func (k *Keeper) View() *View { return k.view }
 
--- a/internal/memory/clock.go
+++ b/internal/memory/clock.go
@@ -20,7 +20,7 @@
 }
 
 // NewClock returns a clock that runs.
-func NewClock() *Clock { return &Clock{origin: time.Now()} }
+func NewClock() *Clock { return &Clock{origin: begin()} }
 
 // NewSetClock returns a clock that stands still.
 func NewSetClock() *Clock {
@@ -37,7 +37,7 @@
 	if c.manual {
 		return math.Float64frombits(c.set.Load())
 	}
-	return clockStart + float64(time.Since(c.origin).Nanoseconds())/1e6
+	return clockStart + float64(c.since().Nanoseconds())/1e6
 }
 
 // FromUnix turns Unix time in milliseconds into this clock's; 0 stays 0, for long ago.
--- /dev/null
+++ b/internal/memory/clock_faults.go
@@ -0,0 +1,18 @@
+//go:build faults
+
+package memory
+
+import (
+	"time"
+
+	"capersail/internal/fault"
+)
+
+// started is what the faulty clock showed when the process began.
+var started = fault.Shown()
+
+// since is how long ago the process began, by a clock that may run fast or slow.
+func (c *Clock) since() time.Duration { return fault.Shown() - started }
+
+// begin is when the process began, by a clock of the day that may be off.
+func begin() time.Time { return time.Now().Add(fault.Step()) }
--- /dev/null
+++ b/internal/proving/proving.go
@@ -0,0 +1,455 @@
+// Package proving is the proving ground: it starts several processes of the real program on loopback, puts faults
+// between them by schedules that are drawn from a seed or read from a file, and reads their histories. The program is
+// built with the tag faults for it; the shipped one has no seams.
+package proving
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"capersail/internal/fault"
+	"capersail/internal/standin"
+)
+
+// Build builds the program with its seams into a folder and returns its path. dir is the project's root.
+func Build(dir, into string) (string, error) {
+	path := filepath.Join(into, "capersail")
+	cmd := exec.Command("go", "build", "-tags", "faults", "-o", path, "./cmd/capersail")
+	cmd.Dir = dir
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("go build: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// Now is the machine's monotonic clock in ms, as histories have it.
+func Now() float64 {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) != nil {
+		return 0
+	}
+	return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
+}
+
+// Plan says how a ground is laid out.
+type Plan struct {
+	Program  string
+	Dir      string
+	Relays   int
+	Founders int            // 0 for Relays
+	Site     string         // "" for "ground"
+	Keys     string         // text of the key file, "" for none
+	Settings map[string]any // changes to the example's settings
+	Admin    bool           // with second addresses
+}
+
+// Ground is a fleet of processes with its discovery.
+type Ground struct {
+	Plan
+	Discovery *standin.Discovery
+	Relays    []*Relay
+
+	mu     sync.Mutex
+	events []fault.Noted
+	cut    map[[2]int]bool
+}
+
+// Relay is one process, or the place of one.
+type Relay struct {
+	Name                  string
+	Gossip, Listen, Admin string
+	Socket                string
+	dir                   string
+	cmd                   *exec.Cmd
+	ended                 chan struct{}
+	up, stopped           bool
+	rules                 fault.Rules
+	env                   []string
+}
+
+// Up tells whether the process runs; a stopped one does.
+func (r *Relay) Up() bool { return r.up }
+
+// Log is what the relay has written to its log, over all its lives.
+func (r *Relay) Log() string {
+	text, _ := os.ReadFile(filepath.Join(r.dir, "log"))
+	return string(text)
+}
+
+// ownNet is the beginning of loopback addresses that this ground has for itself, so that grounds can stand side by
+// side and no port that is given out for a moment is in the way.
+func ownNet() (string, error) {
+	for range 100 {
+		begin := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(256))
+		l, err := net.Listen("tcp", begin+"254:7946")
+		if err != nil {
+			continue
+		}
+		return begin, l.Close()
+	}
+	return "", errors.New("no loopback net is free")
+}
+
+// New lays a ground out. No process runs yet. example is the path of the example's configuration.
+func New(p Plan, example string) (*Ground, error) {
+	if p.Founders == 0 {
+		p.Founders = p.Relays
+	}
+	if p.Site == "" {
+		p.Site = "ground"
+	}
+	d, err := standin.NewDiscovery("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	net, err := ownNet()
+	if err != nil {
+		return nil, err
+	}
+	g := &Ground{Plan: p, Discovery: d, cut: map[[2]int]bool{}}
+	for i := range p.Relays {
+		r := &Relay{Name: fmt.Sprintf("r%d", i), dir: filepath.Join(p.Dir, fmt.Sprintf("r%d", i)), rules: fault.Rules{Seed: uint64(i)}}
+		if err := os.MkdirAll(r.dir, 0o700); err != nil {
+			return nil, err
+		}
+		host := fmt.Sprintf("%s%d", net, i+1)
+		r.Gossip, r.Listen, r.Admin = host+":7946", host+":8000", host+":9000"
+		r.Socket = filepath.Join(r.dir, "s")
+		g.Relays = append(g.Relays, r)
+	}
+	for i := range g.Relays {
+		if err := g.configure(i, example); err != nil {
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// configure writes a relay's files.
+func (g *Ground) configure(i int, example string) error {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		return err
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	r := g.Relays[i]
+	c["name"], c["listen"], c["discovery"], c["seed"] = r.Name, r.Listen, g.Discovery.Address, fmt.Sprintf("%x", i+1)
+	settings := c["settings"].(map[string]any)
+	settings["me"], settings["balancers"] = i, g.Plan.Relays
+	for k, v := range g.Settings {
+		settings[k] = v
+	}
+	if text, err = json.Marshal(c); err != nil {
+		return err
+	}
+	seeds := []string{}
+	for j := range min(3, len(g.Relays)) {
+		seeds = append(seeds, fmt.Sprintf("%q", g.Relays[j].Gossip))
+	}
+	members := fmt.Sprintf("site = %q\nbind = %q\nseeds = [%s]\nstate = %q\nsocket = %q\nfounders = %d\n", g.Site, r.Gossip, strings.Join(seeds, ", "),
+		filepath.Join(r.dir, "state"), r.Socket, g.Founders)
+	if g.Keys != "" {
+		members += fmt.Sprintf("keys = %q\n", r.file("keys"))
+		if err := os.WriteFile(r.file("keys"), []byte(g.Keys), 0o600); err != nil {
+			return err
+		}
+	}
+	return errors.Join(os.WriteFile(r.file("config.json"), text, 0o600), os.WriteFile(r.file("members.toml"), []byte(members), 0o600), r.apply())
+}
+
+func (r *Relay) file(name string) string { return filepath.Join(r.dir, name) }
+
+// apply hands the rules to the process: a file that is replaced at once.
+func (r *Relay) apply() error {
+	text, err := json.Marshal(r.rules)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(r.file("faults.new"), text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(r.file("faults.new"), r.file("faults"))
+}
+
+func (g *Ground) note(i int, event string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.events = append(g.events, fault.Noted{T: Now(), Name: g.Relays[i].Name, Event: event})
+}
+
+// Start starts a relay's process.
+func (g *Ground) Start(i int) error {
+	r := g.Relays[i]
+	if r.up {
+		return nil
+	}
+	log, err := os.OpenFile(r.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	r.cmd = exec.Command(g.Program, "--members", r.file("members.toml"))
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+r.file("config.json"), "TMPDIR="+r.dir, "CAPERSAIL_FAULTS="+r.file("faults"), "CAPERSAIL_HISTORY="+r.file("history"))
+	if g.Admin {
+		r.cmd.Env = append(r.cmd.Env, "LB_ADMIN="+r.Admin)
+	}
+	r.cmd.Stderr, r.cmd.Stdout = log, log
+	g.note(i, "start")
+	if err := r.cmd.Start(); err != nil {
+		return err
+	}
+	r.up, r.stopped, r.ended = true, false, make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		cmd.Wait()
+		close(ended)
+	}(r.cmd, r.ended)
+	return nil
+}
+
+// Kill kills a relay's process and waits for its end.
+func (g *Ground) Kill(i int) {
+	r := g.Relays[i]
+	if !r.up {
+		return
+	}
+	r.cmd.Process.Kill()
+	<-r.ended
+	r.up, r.stopped = false, false
+	g.note(i, "kill")
+}
+
+// Term asks a relay's process to leave, and waits for its end.
+func (g *Ground) Term(i int) {
+	r := g.Relays[i]
+	if !r.up {
+		return
+	}
+	g.Cont(i)
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	<-r.ended
+	r.up = false
+	g.note(i, "kill")
+}
+
+// Stop stops a relay's process as it stands; Cont lets it go on.
+func (g *Ground) Stop(i int) {
+	if r := g.Relays[i]; r.up && !r.stopped {
+		r.cmd.Process.Signal(syscall.SIGSTOP)
+		r.stopped = true
+		g.note(i, "stop")
+	}
+}
+
+// Cont lets a stopped process go on.
+func (g *Ground) Cont(i int) {
+	if r := g.Relays[i]; r.up && r.stopped {
+		g.note(i, "cont")
+		r.cmd.Process.Signal(syscall.SIGCONT)
+		r.stopped = false
+	}
+}
+
+// Close ends all processes.
+func (g *Ground) Close() {
+	for i := range g.Relays {
+		g.Kill(i)
+	}
+}
+
+// Rule changes a relay's faults.
+func (g *Ground) Rule(i int, change func(*fault.Rules)) error {
+	change(&g.Relays[i].rules)
+	return g.Relays[i].apply()
+}
+
+// Cut cuts what one relay sends to another, or lets it pass again.
+func (g *Ground) Cut(from, to int, on bool) { g.cut[[2]int{from, to}] = on }
+
+// Split cuts the fleet: relays of different parts hear nothing of each other.
+func (g *Ground) Split(part []int) {
+	for a := range g.Relays {
+		for b := range g.Relays {
+			g.Cut(a, b, part[a] != part[b])
+		}
+	}
+}
+
+// Apply hands the cuts to all processes.
+func (g *Ground) Apply() error {
+	var all []error
+	for i, r := range g.Relays {
+		r.rules.Cut, r.rules.CutFrom = nil, nil
+		for j, o := range g.Relays {
+			if g.cut[[2]int{i, j}] {
+				r.rules.Cut = append(r.rules.Cut, o.Gossip)
+			}
+			if g.cut[[2]int{j, i}] {
+				r.rules.CutFrom = append(r.rules.CutFrom, o.Gossip)
+			}
+		}
+		all = append(all, r.apply())
+	}
+	return errors.Join(all...)
+}
+
+// Heal ends all faults: cuts, loss, stops; whoever is down stays down.
+func (g *Ground) Heal() error {
+	clear(g.cut)
+	for i, r := range g.Relays {
+		r.rules = fault.Rules{Seed: r.rules.Seed, Rate: r.rules.Rate, StepMs: r.rules.StepMs}
+		g.Cont(i)
+	}
+	return g.Apply()
+}
+
+// Histories are all lines of all processes and of the rig, in the order of their times.
+func (g *Ground) Histories() ([]fault.Noted, error) {
+	g.mu.Lock()
+	all := slices.Clone(g.events)
+	g.mu.Unlock()
+	for _, r := range g.Relays {
+		f, err := os.Open(r.file("history"))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for lines := bufio.NewScanner(f); lines.Scan(); {
+			var n fault.Noted
+			if json.Unmarshal(lines.Bytes(), &n) == nil { // the last line of a killed process may be torn
+				all = append(all, n)
+			}
+		}
+		f.Close()
+	}
+	slices.SortStableFunc(all, func(a, b fault.Noted) int {
+		switch {
+		case a.T < b.T:
+			return -1
+		case a.T > b.T:
+			return 1
+		}
+		return 0
+	})
+	return all, nil
+}
+
+// Last is the newest line of each relay's newest life.
+func (g *Ground) Last() (map[string]fault.Noted, error) {
+	all, err := g.Histories()
+	last := map[string]fault.Noted{}
+	for _, n := range all {
+		switch n.Event {
+		case "start", "kill":
+			delete(last, n.Name)
+		case "":
+			last[n.Name] = n
+		}
+	}
+	return last, err
+}
+
+// Agree tells whether all relays that run hold one view of just them. settled wants every share at its target too.
+func (g *Ground) Agree(settled bool) error {
+	last, err := g.Last()
+	if err != nil {
+		return err
+	}
+	var names []string
+	for _, r := range g.Relays {
+		if r.up {
+			names = append(names, r.Name)
+		}
+	}
+	var ref fault.Noted
+	for _, name := range names {
+		n, ok := last[name]
+		if !ok {
+			return fmt.Errorf("%s has said nothing yet", name)
+		}
+		if ref.Name == "" {
+			ref = n
+		}
+		if n.Epoch != ref.Epoch || n.Hash != ref.Hash {
+			return fmt.Errorf("%s holds epoch %d of %v, %s epoch %d of %v", name, n.Epoch, n.Members, ref.Name, ref.Epoch, ref.Members)
+		}
+		if !slices.Equal(n.Members, names) {
+			return fmt.Errorf("%s: epoch %d has %v; %v run", name, n.Epoch, n.Members, names)
+		}
+		if n.Phase != "agreed" && (settled || n.Phase != "settling") {
+			return fmt.Errorf("%s is %s in epoch %d", name, n.Phase, n.Epoch)
+		}
+	}
+	return nil
+}
+
+// Await waits until a condition holds, and returns how long that took.
+func Await(within time.Duration, check func() error) (time.Duration, error) {
+	began := time.Now()
+	for {
+		err := check()
+		if took := time.Since(began); err == nil || took > within {
+			if err != nil {
+				err = fmt.Errorf("after %v: %w", took.Round(time.Millisecond), err)
+			}
+			return took, err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// MostTaken is the greatest sum of shares that the relays took at any moment, and when that was. A relay takes its
+// share from its line on until the next one, until the share lapses, or until its process has ended.
+func MostTaken(all []fault.Noted) (most float64, at float64) {
+	type holding struct{ share, until float64 }
+	held := map[string]holding{}
+	sum := func(now float64) (s float64) {
+		for _, h := range held {
+			if h.until == 0 || now < h.until {
+				s += h.share
+			}
+		}
+		return s
+	}
+	for _, n := range all {
+		switch n.Event {
+		case "":
+			held[n.Name] = holding{n.Share, n.Until}
+		case "kill":
+			delete(held, n.Name)
+		}
+		if s := sum(n.T); s > most {
+			most, at = s, n.T
+		}
+	}
+	return most, at
+}
+
+// Tail are the last lines before a moment, for a failure's report.
+func Tail(all []fault.Noted, at, ms float64) string {
+	var b strings.Builder
+	for _, n := range all {
+		if n.T > at-ms && n.T <= at+1 {
+			fmt.Fprintf(&b, "%9.1f %s %s%s epoch %d share %.4f until %+.0f %v\n", n.T-at, n.Name, n.Event, n.Phase, n.Epoch, n.Share, n.Until-n.T, n.Members)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/wire/gossip/seam_faults.go
@@ -0,0 +1,83 @@
+//go:build faults
+
+package gossip
+
+import (
+	"errors"
+	"math"
+	"net"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"capersail/internal/fault"
+)
+
+// seam puts faults between this relay and the others.
+func (n *Node) seam(t *counted) memberlist.NodeAwareTransport { return &faulty{t} }
+
+type faulty struct{ *counted }
+
+// WriteTo is memberlist's.
+func (f *faulty) WriteTo(b []byte, to string) (time.Time, error) {
+	return f.WriteToAddress(b, memberlist.Address{Addr: to})
+}
+
+// WriteToAddress is memberlist's.
+func (f *faulty) WriteToAddress(b []byte, to memberlist.Address) (time.Time, error) {
+	text := append([]byte(nil), b...)
+	for _, after := range fault.Packet(to.Addr) {
+		if after <= 0 {
+			f.counted.WriteToAddress(text, to)
+			continue
+		}
+		time.AfterFunc(after, func() { f.counted.WriteToAddress(text, to) })
+	}
+	return time.Now(), nil
+}
+
+// DialTimeout is memberlist's.
+func (f *faulty) DialTimeout(to string, within time.Duration) (net.Conn, error) {
+	return f.DialAddressTimeout(memberlist.Address{Addr: to}, within)
+}
+
+// DialAddressTimeout is memberlist's.
+func (f *faulty) DialAddressTimeout(to memberlist.Address, within time.Duration) (net.Conn, error) {
+	if !fault.Reaches(to.Addr) {
+		time.Sleep(min(within, 300*time.Millisecond))
+		return nil, errors.New("i/o timeout")
+	}
+	return f.counted.DialAddressTimeout(to, within)
+}
+
+// noted is what the last line of the history said.
+var noted fault.Noted
+
+// history takes down what the relay reckons with, as it changes.
+func (n *Node) history() {
+	if !fault.On() {
+		return
+	}
+	n.mu.Lock()
+	now, v := n.now(), n.keeper.View()
+	r := n.keeper.Reckoning(now)
+	t := fault.Now()
+	line := fault.Noted{Name: n.cfg.Name, Incarnation: n.keeper.Incarnation(), Epoch: r.Epoch, Hash: n.keeper.Hash(), Phase: r.Phase.String(),
+		Settled: v.Settled(), Share: r.Share, Relays: r.Relays}
+	if !math.IsInf(r.Until, 1) {
+		line.Until = t + (r.Until-now)/fault.Rate()
+	}
+	if line.Epoch != noted.Epoch || line.Hash != noted.Hash {
+		line.Members = v.Members()
+	} else {
+		line.Members = noted.Members
+	}
+	n.mu.Unlock()
+	same := line.Epoch == noted.Epoch && line.Hash == noted.Hash && line.Phase == noted.Phase && line.Share == noted.Share && line.Relays == noted.Relays
+	if same && math.Abs(line.Until-noted.Until) < 1 && t < noted.T+1000 {
+		return
+	}
+	line.T = t
+	noted = line
+	fault.Note(line)
+}
