Reckon with what other relays hold, see and send away; a draining peer leaves room

Need: while a peer drains, the other relay refused its clients with no room in bursts: it took the peer to see its own rate, and counted each moved client twice, where it was in the last reading and where it came anew. Now the sum of the others' rates and connections comes as told, and what a draining peer sends away is taken off the readings. Without word of others nothing changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -278,7 +278,7 @@
 }
 
 // learn follows what a connection adds to a warm backend's load, as mean load over mean connections held.
-// Where no report counts those, they are this relay's own times the relays, spread over the fleet. A cold
+// Where no report counts those, they are what all relays hold, spread over the fleet. A cold
 // backend's few say too little: a new relay once took a connection for nothing, its budget for endless. And a
 // relay's own tell little where others hold more: one with 8 of 57 took each for a sixth of a backend, and
 // refused what came from the others at their restart. So the tenants' quotas bound what is learnt.
@@ -288,7 +288,7 @@
 	}
 	conns := report.Inflight
 	if conns < 0 {
-		conns = float64(b.held*b.set.Relays) / float64(max(b.listed(), 1))
+		conns = b.all() / float64(max(b.listed(), 1))
 	}
 	b.loads += (s.load - b.loads) / 8
 	b.conns += (conns - b.conns) / 8
@@ -316,9 +316,11 @@
 // lateness is the part of messages that come late at a load; what crossing zones costs is weighed against it.
 func lateness(load float64) float64 { return math.Pow(load, lateExponent) }
 
-// estimate is a backend's load now: its reading and what this relay has added since.
+// estimate is a backend's load now: its reading, what this relay has added since, and its part of what others
+// have sent away: those come here next, and would count twice.
 func (b *Balancer) estimate(s *server) float64 {
-	load := max(s.load+float64(len(s.placed)-len(s.left))*b.adds(), 0)
+	gone := b.talk.Sent * (min(b.now-s.readAt, watchEvery) + reportLag).Seconds() / float64(max(b.listed(), 1))
+	load := max(s.load+(float64(len(s.placed)-len(s.left))-gone)*b.adds(), 0)
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -32,11 +32,12 @@
 	jobs     map[RequestID]*client
 	counts   map[string]int
 	callsAt  []time.Duration
-	overrun  float64         // most that a cold server was sent, as a part of what makes it fall over
-	lateSend time.Duration   // longest after word of a drain that something new was sent
-	served   time.Duration   // connection time in all
-	hot      time.Duration   // and on servers asked for more than they can do
-	waits    []time.Duration // from a client's first try to its connection
+	overrun  float64             // most that a cold server was sent, as a part of what makes it fall over
+	lateSend time.Duration       // longest after word of a drain that something new was sent
+	served   time.Duration       // connection time in all
+	hot      time.Duration       // and on servers asked for more than they can do
+	waits    []time.Duration     // from a client's first try to its connection
+	door     func(*station) bool // whether a relay is sent a client; nil for always
 }
 
 type station struct {
@@ -398,7 +399,7 @@
 func (v *vast) ask(c *client) {
 	v.count("asks")
 	r := v.relays[v.rng.IntN(len(v.relays))]
-	for !r.up {
+	for !r.up || v.door != nil && !v.door(r) {
 		r = v.relays[v.rng.IntN(len(v.relays))]
 	}
 	v.lastID++
--- a/decide/state.go
+++ b/decide/state.go
@@ -112,7 +112,7 @@
 	_, golden := math.Modf(float64(set.Me) * math.Phi)
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), jitter: golden, began: -1, probeRTT: time.Second,
 		zones: make([][]Backend, set.Zones), reqs: map[RequestID]*request{}, tokens: make([]float64, len(set.Tenants)+1)}
-	b.talk = Fleet{Relays: set.Relays, Share: 1 / float64(set.Relays), Others: -1}
+	b.talk = Fleet{Relays: set.Relays, Share: 1 / float64(set.Relays), Others: -1, Held: -1}
 	for i := range b.tokens {
 		b.tokens[i] = retryBurst
 	}
@@ -285,3 +285,11 @@
 	}
 	return b.talk.Share
 }
+
+// all is how many connections all relays hold: as they say, or as many each as this one.
+func (b *Balancer) all() float64 {
+	if b.talk.Held >= 0 {
+		return float64(b.held + b.talk.Held)
+	}
+	return float64(b.held * b.set.Relays)
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -226,10 +226,12 @@
 	}
 	// Fleet is what the relays know of each other. Before the first of these the settings' number holds for all.
 	Fleet struct {
-		Relays int           // that take clients, this one too
+		Relays int           // that are there, this one too
 		Share  float64       // the part of a cold backend's budget that is this relay's
 		Until  time.Duration // the share lapses then, unless another Fleet comes; 0 for never
 		Others float64       // requests a second that come to the other relays, negative if that is not known
+		Held   int           // connections that the other relays hold, negative if that is not known
+		Sent   float64       // connections a second that the other relays send away, as one that drains does
 	}
 	// Peer is a message from another relay.
 	Peer struct {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -32,6 +32,8 @@
 	answerWithin = 500.0  // a ballot that has no majority by then is given up
 	turnEvery    = 400.0  // between two voters' turns to propose
 	stuckAfter   = 600.0  // an accepted view that nobody tells the choice of is taken up
+	sentEvery    = 500.0  // a relay that sends its clients away says so as often
+	sentFor      = 1500.0 // and is believed for so long
 	behindFor    = 2000.0 // a peer has had a newer list of servers for so long
 	graceAtStart = 1500.0 // a relay that has heard nobody for so long is alone
 	foundAfter   = 700.0  // how long founders wait for each other before they make the first view
@@ -713,7 +715,7 @@
 // digest is what this relay tells of itself.
 func (k *Keeper) digest() Digest {
 	return Digest{Version: DigestVersion, Incarnation: k.rec.Incarnation, Doing: k.own.Doing, Zone: k.own.Zone, Rate: k.own.Rate, Held: k.own.Held,
-		List: k.own.List, Epoch: k.view.Epoch, Hash: k.hash, Founders: k.view.Founders, Place: k.cfg.Place, Pledged: k.rec.Pledged}
+		List: k.own.List, Sent: k.own.Sent, Epoch: k.view.Epoch, Hash: k.hash, Founders: k.view.Founders, Place: k.cfg.Place, Pledged: k.rec.Pledged}
 }
 
 // tellEvery is the time between two digests: it grows with the fleet, so that what a relay gets does not.
@@ -722,13 +724,16 @@
 // tell publishes the digest: at once where the state, the list, the view or a pledge is new, else now and then.
 func (k *Keeper) tell(now bool) {
 	d, t := k.digest(), k.told
-	now = now || d.Doing != t.Doing || d.List != t.List || d.Epoch != t.Epoch || d.Pledged != t.Pledged
+	now = now || d.Doing != t.Doing || d.List != t.List || (d.Sent > 0) != (t.Sent > 0) || d.Epoch != t.Epoch || d.Pledged != t.Pledged
 	if !now && k.now < k.tellAt {
 		return
 	}
 	k.seq++
 	d.Seq = k.seq
 	k.told, k.tellAt = d, k.now+k.tellEvery()
+	if d.Sent > 0 {
+		k.tellAt = k.now + sentEvery
+	}
 	k.do(Publish{d})
 }
 
@@ -736,28 +741,43 @@
 type Reckoning struct {
 	Phase  Phase
 	Epoch  uint64
-	Relays int     // that take clients, this one too
+	Relays int     // that are there, this one too
 	Share  float64 // of a fleet-wide budget, 0 to 1
 	Until  float64 // when the share lapses unless it is renewed; +Inf if it does not
 	Others float64 // requests a second that the others see; negative where it is not known
+	Held   int     // connections that the others hold; negative where it is not known
+	Sent   float64 // connections a second that others send away, as they drain or leave
 	Why    string  // the share
 }
 
 // Reckoning says what to reckon with. The share is to be asked for, or held against Until, right before each use.
 func (k *Keeper) Reckoning(now float64) Reckoning {
 	now = max(now, k.now)
-	r := Reckoning{Phase: k.phase, Epoch: k.view.Epoch, Relays: max(k.cfg.Relays, 1), Others: -1}
+	r := Reckoning{Phase: k.phase, Epoch: k.view.Epoch, Relays: max(k.cfg.Relays, 1), Others: -1, Held: -1}
 	r.Share, r.Until, r.Why = k.share(now)
 	if k.view.Epoch == 0 {
 		return r
 	}
-	r.Relays, r.Others = max(k.view.Serving(), 1), 0
+	r.Relays, r.Others, r.Held = 0, 0, 0
 	for _, s := range k.view.Seats {
+		if !s.In {
+			continue
+		}
+		r.Relays++
 		p := k.peers[s.Name]
-		if s.In && !s.Idle && p != nil && p.ToldAt >= 0 && s.Name != k.cfg.Name && p.Digest.Doing == Serving &&
-			(p.Word == Alive || p.Word == Suspected || k.phase == CutOff) {
+		if s.Name == k.cfg.Name || p == nil || p.ToldAt < 0 || p.Word != Alive && p.Word != Suspected && k.phase != CutOff {
+			continue
+		}
+		if p.Digest.Doing == Serving {
 			r.Others += p.Digest.Rate
 		}
+		r.Held += p.Digest.Held
+	}
+	r.Relays = max(r.Relays, 1)
+	for _, p := range k.order {
+		if p.Digest.Doing >= Draining && now-p.ToldAt < sentFor {
+			r.Sent += p.Digest.Sent
+		}
 	}
 	return r
 }
--- a/internal/fleet/member/types.go
+++ b/internal/fleet/member/types.go
@@ -66,9 +66,10 @@
 	Epoch       uint64  `cbor:"8,keyasint"` // of the view that it holds, on its disk
 	Hash        uint64  `cbor:"9,keyasint"` // of that view
 	Founders    int     `cbor:"10,keyasint"`
-	Place       int     `cbor:"11,keyasint"` // from 0; negative for none
-	Pledged     bool    `cbor:"12,keyasint"` // its place is the fleet's to divide
-	Seq         uint64  `cbor:"13,keyasint"` // rises with each digest of an incarnation
+	Place       int     `cbor:"11,keyasint"`           // from 0; negative for none
+	Pledged     bool    `cbor:"12,keyasint"`           // its place is the fleet's to divide
+	Seq         uint64  `cbor:"13,keyasint"`           // rises with each digest of an incarnation
+	Sent        float64 `cbor:"14,keyasint,omitempty"` // connections a second that it sends away, in a drain or as it leaves
 }
 
 // DigestVersion is the version that this program writes.
@@ -149,6 +150,7 @@
 		Rate  float64
 		Held  int
 		List  int64
+		Sent  float64
 	}
 	// Unsaved says that a Record could not be kept: nothing that followed from it has been done, and the relay must
 	// promise nothing any more.
--- a/internal/wire/gossip/envelope.go
+++ b/internal/wire/gossip/envelope.go
@@ -64,7 +64,7 @@
 
 // sane tells whether a digest could be true.
 func sane(d member.Digest) bool {
-	return d.Version >= 1 && d.Rate >= 0 && !math.IsNaN(d.Rate) && d.Rate < 1e9 && d.Held >= 0 && d.Founders >= 1 && d.Founders <= 1<<20 &&
+	return d.Version >= 1 && d.Rate >= 0 && !math.IsNaN(d.Rate) && d.Rate < 1e9 && d.Held >= 0 && d.Sent >= 0 && d.Sent < 1e9 && d.Founders >= 1 && d.Founders <= 1<<20 &&
 		d.Place < d.Founders && len(d.Zone) <= longestName
 }
 
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -28,6 +28,7 @@
 const (
 	lookEvery    = 250.0 // ms between two looks at what this relay does
 	rateOver     = 2000.0
+	sentOver     = 400.0
 	bindEvery    = 5 * time.Second // a taken port is tried again
 	rejoinEvery  = 700 * time.Millisecond
 	seedsEvery   = 5 // so many rejoins, the last of which goes to a seed
@@ -97,6 +98,8 @@
 	arrivals uint64
 	rate     float64
 	rateAt   float64
+	held     int
+	sent     float64
 }
 
 // New reads the record and returns a Node that does not run yet. A record that cannot be read or kept is no reason
@@ -168,8 +171,15 @@
 		part := 1 - math.Exp(-(now-n.rateAt)/rateOver)
 		n.rate += part * (float64(s.Arrivals-n.arrivals)/(now-n.rateAt)*1000 - n.rate)
 	}
-	n.arrivals, n.rateAt = s.Arrivals, now
-	return member.Own{Doing: s.Doing, Zone: n.cfg.Zone, Rate: math.Round(n.rate*100) / 100, Held: s.Held, List: s.List}
+	sent := 0.0
+	if s.Doing >= member.Draining && n.rateAt > 0 && now > n.rateAt {
+		sent = n.sent + (1-math.Exp(-(now-n.rateAt)/sentOver))*(float64(max(n.held-s.Held, 0))/(now-n.rateAt)*1000-n.sent)
+		if sent < 0.1 {
+			sent = 0
+		}
+	}
+	n.arrivals, n.held, n.rateAt, n.sent = s.Arrivals, s.Held, now, sent
+	return member.Own{Doing: s.Doing, Zone: n.cfg.Zone, Rate: math.Round(n.rate*100) / 100, Held: s.Held, List: s.List, Sent: math.Round(sent*10) / 10}
 }
 
 // post queues an event. When there is no room it is dropped: all that is said is said again.
@@ -222,7 +232,7 @@
 	n.mu.Lock()
 	own := n.now()
 	r := n.keeper.Reckoning(own)
-	f := decide.Fleet{Relays: r.Relays, Share: r.Share, Others: r.Others}
+	f := decide.Fleet{Relays: r.Relays, Share: r.Share, Others: r.Others, Held: r.Held, Sent: r.Sent}
 	if !math.IsInf(r.Until, 1) {
 		f.Until = memory.Duration(now + r.Until - own)
 	}
