--- a/internal/wire/gossip/drops.go
+++ b/internal/wire/gossip/drops.go
@@ -97,15 +97,15 @@
 
 // counted is memberlist's transport with its traffic counted.
 type counted struct {
-	*memberlist.NetTransport
+	memberlist.NodeAwareTransport
 	traffic *traffic
 	in      chan *memberlist.Packet
 	stop    chan struct{}
 }
 
 // count begins to count a transport's traffic; its Shutdown ends that.
-func count(t *memberlist.NetTransport, into *traffic) *counted {
-	c := &counted{NetTransport: t, traffic: into, in: make(chan *memberlist.Packet, 64), stop: make(chan struct{})}
+func count(t memberlist.NodeAwareTransport, into *traffic) *counted {
+	c := &counted{NodeAwareTransport: t, traffic: into, in: make(chan *memberlist.Packet, 64), stop: make(chan struct{})}
 	go func() {
 		for {
 			select {
@@ -134,7 +134,7 @@
 func (c *counted) WriteToAddress(b []byte, to memberlist.Address) (time.Time, error) {
 	c.traffic.packetsOut.Add(1)
 	c.traffic.bytesOut.Add(uint64(len(b)))
-	return c.NetTransport.WriteToAddress(b, to)
+	return c.NodeAwareTransport.WriteToAddress(b, to)
 }
 
 // PacketCh is memberlist's.
@@ -143,5 +143,5 @@
 // Shutdown is memberlist's.
 func (c *counted) Shutdown() error {
 	close(c.stop)
-	return c.NetTransport.Shutdown()
+	return c.NodeAwareTransport.Shutdown()
 }
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -80,6 +81,7 @@
 	drops *drops
 	net   *traffic
 	big   chan struct{} // a token for each message over TCP under way
+	carry func(host string, port int, log *log.Logger) (memberlist.NodeAwareTransport, error)
 
 	mu     sync.Mutex // held for each step of the Keeper, and by Hold while decisions are made
 	keeper *member.Keeper
@@ -106,7 +108,7 @@
 // not to serve: the relay then promises nothing, and goes on by the settings' number.
 func New(c Config) (*Node, error) {
 	n := &Node{cfg: c, log: c.Log, inbox: make(chan member.Event, inboxRoom), drops: newDrops(c.Log), net: &traffic{},
-		big: make(chan struct{}, reliableRoom), stopped: make(chan struct{})}
+		big: make(chan struct{}, reliableRoom), carry: overSockets, stopped: make(chan struct{})}
 	n.book.nodes, n.book.digests, n.book.replays = map[string]*memberlist.Node{}, map[string][]byte{}, map[string]*window{}
 	n.queue = &memberlist.TransmitLimitedQueue{NumNodes: n.count, RetransmitMult: 3}
 	if len(c.Keys) > 0 {
@@ -376,14 +378,14 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Logger = n.drops.logger()
-	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: c.Logger})
+	transport, err := n.carry(host, port, c.Logger)
 	if err != nil {
 		return nil, err
 	}
 	c.Name, c.Label, c.Keyring = n.cfg.Name, n.cfg.Site, n.ring
 	c.Transport = n.seam(count(transport, n.net))
-	c.BindAddr, c.BindPort = host, transport.GetAutoBindPort()
-	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	c.BindAddr, c.BindPort = host, port
+	c.AdvertiseAddr, c.AdvertisePort = host, port
 	if n.cfg.Tell != "" {
 		told, port, _ := net.SplitHostPort(n.cfg.Tell)
 		c.AdvertiseAddr = told
@@ -405,6 +407,11 @@
 	return list, nil
 }
 
+// overSockets is how packets and streams are carried, but for tests that have a net of their own.
+func overSockets(host string, port int, log *log.Logger) (memberlist.NodeAwareTransport, error) {
+	return memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: log})
+}
+
 // send carries a message to a peer: as one packet, or over TCP where it is too large for that.
 func (n *Node) send(to string, m member.Message) {
 	list := n.list.Load()
--- /dev/null
+++ b/internal/wire/gossip/gossip_test.go
@@ -0,0 +1,421 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"capersail/internal/fleet/member"
+	"capersail/internal/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// ether is a net in memory: it loses a part of the packets, and whoever is struck off hears and says nothing.
+type ether struct {
+	mu   sync.Mutex
+	ends map[string]*end
+	off  map[string]bool
+	loss float64
+	sent atomic.Uint64
+}
+
+type end struct {
+	on      *ether
+	addr    string
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+}
+
+func newEther() *ether { return &ether{ends: map[string]*end{}, off: map[string]bool{}} }
+
+func (e *ether) carry(host string, port int, _ *log.Logger) (memberlist.NodeAwareTransport, error) {
+	t := &end{on: e, addr: fmt.Sprintf("%s:%d", host, port), packets: make(chan *memberlist.Packet, 256), streams: make(chan net.Conn, 16)}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ends[t.addr] = t
+	return t, nil
+}
+
+func (e *ether) strike(addr string, off bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.off[addr] = off
+}
+
+func (t *end) peer(addr string) *end {
+	t.on.mu.Lock()
+	defer t.on.mu.Unlock()
+	if t.on.off[addr] || t.on.off[t.addr] {
+		return nil
+	}
+	return t.on.ends[addr]
+}
+
+func (t *end) FinalAdvertiseAddr(ip string, port int) (net.IP, int, error) { return net.ParseIP(ip), port, nil }
+func (t *end) WriteTo(b []byte, to string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: to})
+}
+func (t *end) WriteToAddress(b []byte, to memberlist.Address) (time.Time, error) {
+	now := time.Now()
+	if o := t.peer(to.Addr); o != nil && rand.Float64() >= t.on.loss {
+		t.on.sent.Add(uint64(len(b)))
+		from, _ := net.ResolveUDPAddr("udp", t.addr)
+		select {
+		case o.packets <- &memberlist.Packet{Buf: bytes.Clone(b), From: from, Timestamp: now}:
+		default:
+		}
+	}
+	return now, nil
+}
+func (t *end) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *end) DialTimeout(to string, d time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: to}, d)
+}
+func (t *end) DialAddressTimeout(to memberlist.Address, _ time.Duration) (net.Conn, error) {
+	o := t.peer(to.Addr)
+	if o == nil {
+		return nil, errors.New("nobody there")
+	}
+	here, there := net.Pipe()
+	select {
+	case o.streams <- there:
+		return here, nil
+	default:
+		here.Close()
+		there.Close()
+		return nil, errors.New("busy")
+	}
+}
+func (t *end) StreamCh() <-chan net.Conn { return t.streams }
+func (t *end) Shutdown() error           { return nil }
+
+// fleet starts n Nodes on an ether, in lots, and ends them with the test.
+func fleet(t *testing.T, e *ether, n int, notice func(at string, c member.Changed)) []*Node {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	var all []*Node
+	t.Cleanup(func() {
+		stop()
+		for _, node := range all {
+			node.Wait()
+		}
+	})
+	for i := range n {
+		name := fmt.Sprintf("r%03d", i)
+		c := Config{Name: name, Site: "ether", Bind: address(i), Seeds: []string{address(0), address(1)}, State: filepath.Join(t.TempDir(), name), Place: i, Founders: n, Relays: n,
+			Seed: uint64(i), Clock: memory.NewClock(), Self: func() Self { return Self{Doing: member.Serving, List: 1} }, Log: zerolog.Nop()}
+		if notice != nil {
+			c.Notice = func(ch member.Changed) { notice(name, ch) }
+		}
+		node, err := New(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		node.carry = e.carry
+		all = append(all, node)
+		go node.Run(ctx)
+	}
+	return all
+}
+
+func address(i int) string { return fmt.Sprintf("127.9.%d.%d:7946", i/250, 1+i%250) }
+
+func await(t *testing.T, within time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > within {
+			t.Fatalf("%s: not within %v", what, within)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func inView(n *Node) (in int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.keeper.View().Members())
+}
+
+// Many members in memory: how long until they agree, what it costs, how soon a dead one is told, and whether losing a
+// packet in a hundred makes any be taken for dead. The long run has 300 and its figures in docs/measurements/members.md.
+func TestManyMembers(t *testing.T) {
+	n, watch := 30, 3*time.Second
+	if os.Getenv("CAPERSAIL_LONG") == "1" {
+		n, watch = 300, 10*time.Minute
+	}
+	e := newEther()
+	var failed atomic.Int64
+	var quiet atomic.Bool
+	all := fleet(t, e, n, func(_ string, c member.Changed) {
+		if quiet.Load() && c.What == "peer" && c.State == "failed" {
+			failed.Add(1)
+		}
+	})
+	everybody := func(want int, but *Node) func() bool {
+		return func() bool {
+			for _, node := range all {
+				if node != but && inView(node) != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	t.Logf("%d relays hold one view after %v", n, await(t, 2*time.Minute, "one view", everybody(n, nil)).Round(10*time.Millisecond))
+
+	e.loss = 0.01
+	quiet.Store(true)
+	bytesAt, cpuAt, began := e.sent.Load(), cpu(), time.Now()
+	time.Sleep(watch)
+	took := time.Since(began).Seconds()
+	quiet.Store(false)
+	t.Logf("at 1%% loss, over %.0f s (%.1f relay-hours): %.0f bytes of packets a relay a second, %.2f ms of CPU a relay a second, %d false alarms",
+		took, took*float64(n)/3600, float64(e.sent.Load()-bytesAt)/took/float64(n), (cpu()-cpuAt)*1000/took/float64(n), failed.Load())
+	if failed.Load() > 0 {
+		t.Errorf("%d times a relay was taken for dead that was not", failed.Load())
+	}
+
+	e.strike(all[n/2].cfg.Bind, true)
+	t.Logf("one that died is out of all views after %v", await(t, time.Minute, "out", everybody(n-1, all[n/2])).Round(10*time.Millisecond))
+	e.strike(all[n/2].cfg.Bind, false)
+	t.Logf("one that is back is in all views after %v", await(t, time.Minute, "in", everybody(n, nil)).Round(10*time.Millisecond))
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	t.Logf("heap %.2f MB a relay", float64(mem.HeapAlloc)/1e6/float64(n))
+}
+
+func cpu() float64 {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return float64(u.Utime.Sec+u.Stime.Sec) + float64(u.Utime.Usec+u.Stime.Usec)/1e6
+}
+
+// lone is a Node that has not been started, for what it takes in.
+func lone(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Config{Name: "me", Site: "s", State: filepath.Join(t.TempDir(), "state"), Founders: 3, Relays: 3, Clock: memory.NewClock(), Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.disk.close)
+	return n
+}
+
+func good7() member.Digest {
+	return member.Digest{Version: 1, Incarnation: 4, Doing: member.Serving, Rate: 2, Founders: 3, Place: 1, Pledged: true, Seq: 7}
+}
+
+// What cannot be is dropped and counted by its reason, and the same message twice is taken once; a digest of a later
+// version, with fields that nobody knows here, and one of an earlier one, with fields missing, are taken.
+func TestWhatIsDropped(t *testing.T) {
+	n := lone(t)
+	sealed := func(k kind, inc, seq uint64, body any) []byte {
+		text, err := seal("peer", inc, seq, k, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	renew := sealed(kindMessage, 4, 9, member.Message{Kind: member.Renew, Epoch: 1, From: 4, Place: 1})
+	nan := good7()
+	nan.Rate = -1
+	huge := member.Message{Kind: member.Held, From: 4, View: &member.View{Epoch: 1, Founders: 3, Voters: []string{"x"}, Seats: []member.Seat{{Name: "x", In: true, Share: 1 << 63}}}}
+	for what, c := range map[string]struct {
+		text []byte
+		r    reason
+	}{
+		"noise":                          {[]byte("hello, is anybody there?"), malformed},
+		"nothing":                        {nil, malformed},
+		"oversized":                      {bytes.Repeat([]byte{0x80}, mostBody+1), malformed},
+		"cut":                            {renew[:len(renew)/2], malformed},
+		"a digest that cannot be":        {sealed(kindDigest, 4, 7, nan), malformed},
+		"a digest of another's number":   {sealed(kindDigest, 4, 8, good7()), malformed},
+		"a view whose shares are absurd": {sealed(kindMessage, 4, 10, huge), malformed},
+		"a choice without a view":        {sealed(kindMessage, 4, 11, member.Message{Kind: member.Held, From: 4}), malformed},
+		"a kind of a later version":      {sealed(77, 4, 12, 1), unknown},
+	} {
+		before := n.drops.total[c.r].Load()
+		if n.take(c.text, true); n.drops.total[c.r].Load() != before+1 || len(n.inbox) != 0 {
+			t.Errorf("%s: dropped as %s %d times, %d events", what, reasonNames[c.r], n.drops.total[c.r].Load()-before, len(n.inbox))
+		}
+	}
+	n.take(renew, true)
+	n.take(renew, true)
+	if len(n.inbox) != 1 || n.drops.total[replayed].Load() != 1 {
+		t.Errorf("a message that came twice: %d events, %d replays", len(n.inbox), n.drops.total[replayed].Load())
+	}
+	<-n.inbox
+	fields := map[int]any{}
+	text, _ := cbor.Marshal(good7())
+	cbor.Unmarshal(text, &fields)
+	for what, change := range map[string]func(){
+		"a later version":    func() { fields[1], fields[13], fields[90], fields[91] = 9, 20, "new", []int{1, 2} },
+		"an earlier version": func() { delete(fields, 5); delete(fields, 6); delete(fields, 7); fields[13] = 30 },
+	} {
+		change()
+		fields[13] = fields[13].(int)
+		n.take(sealed(kindDigest, 4, uint64(fields[13].(int)), fields), true)
+		if len(n.inbox) != 1 {
+			t.Errorf("%s of the digest: %d events", what, len(n.inbox))
+			continue
+		}
+		if d := (<-n.inbox).(member.Told).Digest; d.Doing != member.Serving || !d.Pledged {
+			t.Errorf("%s of the digest: %+v", what, d)
+		}
+		fields[13] = 40
+	}
+}
+
+// The window takes each number once, in any order, up to 64 behind.
+func TestWindow(t *testing.T) {
+	for seed := range uint64(50) {
+		rng, w, seen := rand.New(rand.NewPCG(seed, 1)), window{}, map[uint64]bool{}
+		for high := uint64(100); high < 400; high++ {
+			n := high - rng.Uint64N(63)
+			if got := w.take(1, n); got == seen[n] {
+				t.Fatalf("seed %d: %d taken: %v, seen before: %v", seed, n, got, seen[n])
+			}
+			seen[n] = true
+		}
+		if w.take(1, 1) || !w.take(2, 1) || w.take(1, 1000) {
+			t.Error("a number far behind, or of an earlier life, was taken, or one of a new life was not")
+		}
+	}
+}
+
+// A record that is torn, of another relay, of another site, of a later version, or that cannot be kept, leads to no
+// promise: the relay says so once and reckons by the settings' number.
+func TestDiskTrouble(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "state")
+	d, _, err := openDisk(path, "s", "me")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.save(member.Record{Incarnation: 7, Pledged: true}); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := openDisk(path, "s", "me"); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("a second process: %v", err)
+	}
+	d.close()
+	good, _ := os.ReadFile(path)
+	read := func(site, name, want string) {
+		t.Helper()
+		d, rec, err := openDisk(path, site, name)
+		d.close()
+		if want == "" && (err != nil || rec.Incarnation != 7) || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%v, %+v; want %q", err, rec, want)
+		}
+	}
+	read("s", "me", "")
+	read("elsewhere", "me", "not of me at elsewhere")
+	read("s", "you", "not of you")
+	os.WriteFile(path, good[:len(good)-3], 0o600)
+	read("s", "me", "torn")
+	bent := bytes.Clone(good)
+	bent[len(bent)-2] ^= 1
+	os.WriteFile(path, bent, 0o600)
+	read("s", "me", "sum does not fit")
+	var k kept
+	cbor.Unmarshal(good, &k)
+	k.Version = 2
+	later, _ := cbor.Marshal(k)
+	os.WriteFile(path, later, 0o600)
+	read("s", "me", "version 2")
+
+	var said bytes.Buffer
+	n, err := New(Config{Name: "me", Site: "s", State: path, Founders: 4, Relays: 4, Clock: memory.NewClock(), Log: zerolog.New(&said)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := n.Reckoning(); r.Share != 0.25 || strings.Count(said.String(), "\n") != 1 {
+		t.Errorf("%+v, said %q", r, said.String())
+	}
+	n.handle(member.Heard{Name: "peer", Word: member.Alive})
+	n.handle(member.Told{Name: "peer", Digest: member.Digest{Version: 1, Incarnation: 1, Epoch: 3, Founders: 4, Place: 1, Pledged: true, Seq: 1}})
+	if r := n.Reckoning(); r.Share != 0.25 {
+		t.Errorf("without a record it pledged: %+v", r)
+	}
+}
+
+// A disk that fails in the middle of a life: what follows from what could not be kept is not done.
+func TestDiskFailsLater(t *testing.T) {
+	n := lone(t)
+	n.disk.path = filepath.Join(t.TempDir(), "gone", "state")
+	n.handle(member.Heard{Name: "peer", Word: member.Alive})
+	n.handle(member.Told{Name: "peer", Digest: member.Digest{Version: 1, Incarnation: 1, Epoch: 3, Founders: 3, Place: 1, Pledged: true, Seq: 1}})
+	n.book.Lock()
+	told := n.book.digests["me"]
+	n.book.Unlock()
+	if e, err := open(told); err == nil {
+		var d member.Digest
+		if cbor.Unmarshal(e.Body, &d); d.Pledged {
+			t.Error("the relay told that it has pledged, and its disk does not know")
+		}
+	}
+}
+
+// Keys are rotated while relays run, one after the other, and nobody is lost.
+func TestKeysAreRotated(t *testing.T) {
+	e := newEther()
+	one, two := bytes.Repeat([]byte{1}, 32), bytes.Repeat([]byte{2}, 32)
+	ctx, stop := context.WithCancel(context.Background())
+	var all []*Node
+	for i := range 3 {
+		n, err := New(Config{Name: fmt.Sprint("r", i), Site: "s", Bind: address(i), Seeds: []string{address(0)}, Keys: [][]byte{one}, State: filepath.Join(t.TempDir(), "state"),
+			Place: i, Founders: 3, Relays: 3, Clock: memory.NewClock(), Self: func() Self { return Self{Doing: member.Serving} }, Log: zerolog.New(io.Discard)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.carry = e.carry
+		all = append(all, n)
+		go n.Run(ctx)
+	}
+	defer func() {
+		stop()
+		for _, n := range all {
+			n.Wait()
+		}
+	}()
+	whole := func() bool { return inView(all[0]) == 3 && inView(all[1]) == 3 && inView(all[2]) == 3 }
+	await(t, 30*time.Second, "one view", whole)
+	for _, keys := range [][][]byte{{one, two}, {two, one}, {two}} {
+		for _, n := range all {
+			if err := n.SetKeys(keys); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	for _, n := range all {
+		if got := n.drops.total[unsealed].Load(); got > 0 || !whole() {
+			t.Errorf("%s: %d packets could not be opened, %d in the view", n.cfg.Name, got, inView(n))
+		}
+	}
+	if err := all[0].SetKeys(nil); err == nil {
+		t.Error("sealing was switched off")
+	}
+}
