--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -82,7 +82,6 @@
 	phase     Phase
 	tellAt    float64
 	askAt     float64 // not before this is a view asked for
-	best      *Peer   // scratch for catchUp
 	told      Digest
 	seq       uint64  // of the digests
 	behindAt  float64 // from when on a newer list at a peer is asked for
@@ -302,16 +301,15 @@
 	if k.now < k.askAt {
 		return
 	}
-	for _, p := range k.peers {
-		if p.Word == Alive && p.ToldAt >= 0 && p.Digest.Epoch > k.view.Epoch && (k.best == nil || p.Digest.Epoch > k.best.Digest.Epoch ||
-			p.Digest.Epoch == k.best.Digest.Epoch && p.Name < k.best.Name) {
-			k.best = p
+	var best *Peer
+	for _, p := range k.order {
+		if p.Word == Alive && p.ToldAt >= 0 && p.Digest.Epoch > k.view.Epoch && (best == nil || p.Digest.Epoch > best.Digest.Epoch) {
+			best = p
 		}
 	}
-	if k.best != nil {
+	if best != nil {
 		k.askAt = k.now + turnEvery
-		k.send(k.best.Name, Message{Kind: Nay, Epoch: k.view.Epoch})
-		k.best = nil
+		k.send(best.Name, Message{Kind: Nay, Epoch: k.view.Epoch})
 	}
 }
 
@@ -681,7 +679,7 @@
 func (k *Keeper) judge() {
 	was, cause := k.phase, ""
 	heard := false
-	for _, p := range k.peers {
+	for _, p := range k.order {
 		heard = heard || p.Word == Alive
 	}
 	switch seat := k.view.Seat(k.cfg.Name); {
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -71,7 +71,9 @@
 	return t.on.ends[addr]
 }
 
-func (t *end) FinalAdvertiseAddr(ip string, port int) (net.IP, int, error) { return net.ParseIP(ip), port, nil }
+func (t *end) FinalAdvertiseAddr(ip string, port int) (net.IP, int, error) {
+	return net.ParseIP(ip), port, nil
+}
 func (t *end) WriteTo(b []byte, to string) (time.Time, error) {
 	return t.WriteToAddress(b, memberlist.Address{Addr: to})
 }
