--- /dev/null
+++ b/internal/lifecycle/members_test.go
@@ -0,0 +1,83 @@
+package lifecycle
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodMembers = `
+site = "casa"
+bind = "127.0.0.1:7946"
+seeds = ["127.0.0.1:7946"]
+state = "/var/lib/capersail/members"
+`
+
+// Each mistake in the file of members is one line that names its key, and all of them are found at once.
+func TestReadMembers(t *testing.T) {
+	dir := t.TempDir()
+	keys := func(text string, mode os.FileMode) string {
+		path := filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "-")+".keys")
+		os.Remove(path)
+		if err := os.WriteFile(path, []byte(text), mode); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	read := func(text string) (*Members, error) {
+		path := filepath.Join(dir, "members.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReadMembers(path)
+	}
+	if m, err := read(goodMembers); err != nil || m.Site != "casa" {
+		t.Errorf("%+v, %v", m, err)
+	}
+	one, two := "AAAAAAAAAAAAAAAAAAAAAA==", "AQAAAAAAAAAAAAAAAAAAAA=="
+	if m, err := read(goodMembers + `keys = "` + keys("# seals\n"+one+"\n\n"+two+"\n", 0o600) + `"`); err != nil || len(m.keys) != 2 {
+		t.Errorf("%+v, %v", m, err)
+	}
+	for want, change := range map[string][2]string{
+		"site: from 1 to 100 bytes":                 {`site = "casa"`, ``},
+		`bind: "nowhere:1": "nowhere" is not an IP`: {`bind = "127.0.0.1:7946"`, `bind = "nowhere:1"`},
+		"the port is not from 1 to 65535":           {`bind = "127.0.0.1:7946"`, `bind = "127.0.0.1:0"`},
+		"bind: 10.0.0.4 is not a loopback address":  {`bind = "127.0.0.1:7946"`, `bind = "10.0.0.4:7946"`},
+		"tell: has to be set":                       {`bind = "127.0.0.1:7946"`, `bind = "0.0.0.0:7946"`},
+		`tell: address here: missing port`:          {`site`, "tell = \"here\"\nsite"},
+		"seeds: at least one":                       {`seeds = ["127.0.0.1:7946"]`, ``},
+		"seeds: entry 2: ":                          {`seeds = [`, `seeds = ["127.0.0.1:1", "x",`},
+		`state: "members" is not a path`:            {`"/var/lib/capersail/members"`, `"members"`},
+		"socket: over 100 bytes":                    {`site`, `socket = "/` + strings.Repeat("x", 101) + "\"\nsite"},
+		"founders: from 1 to 10000":                 {`site`, "founders = -1\nsite"},
+		"sead: unknown key":                         {`site`, "sead = 1\nsite"},
+		"no such file":                              {`site`, "keys = \"/nowhere\"\nsite"},
+		"mode 0644 lets others at the keys":         {`site`, `keys = "` + keys(one, 0o644) + "\"\nsite"},
+	} {
+		_, err := read(strings.Replace(goodMembers, change[0], change[1], 1))
+		found := false
+		for _, line := range strings.Split(errText(err), "\n") {
+			found = found || strings.Contains(line, want) && strings.Contains(line, "members.toml: ")
+		}
+		if !found {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+	for want, text := range map[string]string{"line 2: not base64": one + "\n???\n", "line 1: 3 bytes": "AAAA\n", "line 2: the key is there twice": one + "\n" + one, "no key": "# none\n"} {
+		path := keys(text, 0o600)
+		if _, err := readSeals(path); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), one) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+	if _, err := read("founders = -1\nsite = \"\"\nbind = \"x\"\n"); strings.Count(errText(err), "\n") != 4 {
+		t.Errorf("not all mistakes at once: %v", err)
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -23,9 +23,11 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
+	"gonum.org/v1/plot/plotter"
 
 	"capersail/internal/fleet/member"
 	"capersail/internal/memory"
+	"capersail/internal/proving"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -160,13 +162,12 @@
 	return len(n.keeper.View().Members())
 }
 
-// Many members in memory: how long until they agree, what it costs, how soon a dead one is told, and whether losing a
-// packet in a hundred makes any be taken for dead. The long run has 300 and its figures in docs/measurements/members.md.
-func TestManyMembers(t *testing.T) {
-	n, watch := 30, 3*time.Second
-	if os.Getenv("CAPERSAIL_LONG") == "1" {
-		n, watch = 300, 10*time.Minute
-	}
+// cost is what one size of fleet costs each of its relays.
+type cost struct{ formed, bytes, cpuMs, told, back, heapMB float64 }
+
+// measure plays a fleet of n on a net that loses a packet in a hundred: how long until it agrees, what it costs, how soon
+// a dead one is out of all views and one that is back is in them. Nobody may be taken for dead who is not.
+func measure(t *testing.T, n int, watch time.Duration) (c cost) {
 	e := newEther()
 	var failed atomic.Int64
 	var quiet atomic.Bool
@@ -185,27 +186,61 @@
 			return true
 		}
 	}
-	t.Logf("%d relays hold one view after %v", n, await(t, 2*time.Minute, "one view", everybody(n, nil)).Round(10*time.Millisecond))
-
+	c.formed = await(t, 2*time.Minute, "one view", everybody(n, nil)).Seconds()
 	e.loss = 0.01
 	quiet.Store(true)
 	bytesAt, cpuAt, began := e.sent.Load(), cpu(), time.Now()
 	time.Sleep(watch)
 	took := time.Since(began).Seconds()
 	quiet.Store(false)
-	t.Logf("at 1%% loss, over %.0f s (%.1f relay-hours): %.0f bytes of packets a relay a second, %.2f ms of CPU a relay a second, %d false alarms",
-		took, took*float64(n)/3600, float64(e.sent.Load()-bytesAt)/took/float64(n), (cpu()-cpuAt)*1000/took/float64(n), failed.Load())
+	c.bytes, c.cpuMs = float64(e.sent.Load()-bytesAt)/took/float64(n), (cpu()-cpuAt)*1000/took/float64(n)
 	if failed.Load() > 0 {
 		t.Errorf("%d times a relay was taken for dead that was not", failed.Load())
 	}
-
 	e.strike(all[n/2].cfg.Bind, true)
-	t.Logf("one that died is out of all views after %v", await(t, time.Minute, "out", everybody(n-1, all[n/2])).Round(10*time.Millisecond))
+	c.told = await(t, time.Minute, "out", everybody(n-1, all[n/2])).Seconds()
 	e.strike(all[n/2].cfg.Bind, false)
-	t.Logf("one that is back is in all views after %v", await(t, time.Minute, "in", everybody(n, nil)).Round(10*time.Millisecond))
+	c.back = await(t, time.Minute, "in", everybody(n, nil)).Seconds()
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	t.Logf("heap %.2f MB a relay", float64(mem.HeapAlloc)/1e6/float64(n))
+	c.heapMB = float64(mem.HeapAlloc) / 1e6 / float64(n)
+	t.Logf("%d relays hold one view after %.1f s; at 1%% loss over %.0f s (%.1f relay-hours): %.0f bytes of packets and %.2f ms of CPU a relay a second, %d false alarms; "+
+		"a dead one is out of all views after %.1f s, one that is back is in them after %.1f s; heap %.2f MB a relay", n, c.formed, took, took*float64(n)/3600,
+		c.bytes, c.cpuMs, failed.Load(), c.told, c.back, c.heapMB)
+	return c
+}
+
+// Many members in memory. The long run has 300 for 10 minutes; docs/measurements/members.md has its figures.
+func TestManyMembers(t *testing.T) {
+	if os.Getenv("CAPERSAIL_LONG") == "1" {
+		measure(t, 300, 10*time.Minute)
+	} else {
+		measure(t, 30, 3*time.Second)
+	}
+}
+
+// What members cost by their number, as a chart into the file that CAPERSAIL_CHART names.
+func TestCostOfMembers(t *testing.T) {
+	path := os.Getenv("CAPERSAIL_CHART")
+	if path == "" {
+		t.Skip("CAPERSAIL_CHART is not set")
+	}
+	panels := []proving.Panel{{Title: "What each relay sends and computes", X: "relays", LogX: true, Names: []string{"KB of packets a second", "ms of CPU a second"}, Lines: make([]plotter.XYs, 2)},
+		{Title: "How soon all views have it", X: "relays", Y: "s", LogX: true, Names: []string{"a dead one is out", "one that is back is in", "one view after the start of all"}, Lines: make([]plotter.XYs, 3)}}
+	for _, n := range []int{10, 30, 100, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := measure(t, n, 30*time.Second)
+			for i, y := range []float64{c.bytes / 1000, c.cpuMs} {
+				panels[0].Lines[i] = append(panels[0].Lines[i], plotter.XY{X: float64(n), Y: y})
+			}
+			for i, y := range []float64{c.told, c.back, c.formed} {
+				panels[1].Lines[i] = append(panels[1].Lines[i], plotter.XY{X: float64(n), Y: y})
+			}
+		})
+	}
+	if err := proving.Paint(path, panels...); err != nil {
+		t.Fatal(err)
+	}
 }
 
 func cpu() float64 {
