Let the second process of a relay wait for the first's record, and read no Node of memberlist's

In an upgrade both processes ran as one name, and the new one, finding the record locked, took its place's share beside the old one's. It now takes none until the lock is free. A record that cannot be read leads to no share at all. The race detector found that Members() hands out nodes that memberlist writes to: the Node keeps copies of its own.

--- a/internal/proving/operator_test.go
+++ b/internal/proving/operator_test.go
@@ -128,3 +128,35 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// Without the flag a relay knows nobody: it listens on nothing more, and says nothing of members.
+func TestMembersOffCostsNothing(t *testing.T) {
+	g := lay(t, Plan{Relays: 1, Alone: true, Admin: true}, 1)
+	r := g.Relays[0]
+	var figures string
+	await(t, patience(), "figures", func() error {
+		res, err := http.Get("http://" + r.Admin + "/ops/stats")
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		text, _ := io.ReadAll(res.Body)
+		figures = string(text)
+		return nil
+	})
+	u, err := net.ListenPacket("udp", r.Gossip)
+	if err != nil {
+		t.Fatalf("somebody listens: %v", err)
+	}
+	defer u.Close()
+	sockets, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
+	listening := 0
+	for _, f := range sockets {
+		if to, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", r.cmd.Process.Pid, f.Name())); strings.HasPrefix(to, "socket:") {
+			listening++
+		}
+	}
+	if strings.Contains(figures, "relay_members") || strings.Contains(r.Log(), "members") || listening > 4 { // the clients', the second address, discovery's, a caller's
+		t.Errorf("%d sockets; figures and log:\n%s\n%s", listening, figures, r.Log())
+	}
+}
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -31,6 +31,7 @@
 	rateOver     = 2000.0
 	sentOver     = 400.0
 	bindEvery    = 5 * time.Second // a taken port is tried again
+	stateEvery   = 200 * time.Millisecond
 	rejoinEvery  = 700 * time.Millisecond
 	seedsEvery   = 5 // so many rejoins, the last of which goes to a seed
 	inboxRoom    = 4096
@@ -92,7 +93,8 @@
 
 	book struct {
 		sync.Mutex
-		nodes   map[string]*memberlist.Node // by name, as last heard of
+		nodes   map[string]*memberlist.Node // by name, copies as last heard of: memberlist writes to its own
+		there   map[string]bool             // those of them that are alive
 		digests map[string][]byte           // by name, as they came
 		replays map[string]*window
 	}
@@ -109,7 +111,8 @@
 func New(c Config) (*Node, error) {
 	n := &Node{cfg: c, log: c.Log, inbox: make(chan member.Event, inboxRoom), drops: newDrops(c.Log), net: &traffic{},
 		big: make(chan struct{}, reliableRoom), carry: overSockets, stopped: make(chan struct{})}
-	n.book.nodes, n.book.digests, n.book.replays = map[string]*memberlist.Node{}, map[string][]byte{}, map[string]*window{}
+	n.book.nodes, n.book.there = map[string]*memberlist.Node{}, map[string]bool{}
+	n.book.digests, n.book.replays = map[string][]byte{}, map[string]*window{}
 	n.queue = &memberlist.TransmitLimitedQueue{NumNodes: n.count, RetransmitMult: 3}
 	if len(c.Keys) > 0 {
 		ring, err := memberlist.NewKeyring(c.Keys, c.Keys[0])
@@ -118,22 +121,51 @@
 		}
 		n.ring = ring
 	}
-	var rec member.Record
-	var err error
-	n.disk, rec, err = openDisk(c.State, c.Site, c.Name)
-	if err != nil {
+	n.begin()
+	return n, nil
+}
+
+// begin reads the record and makes the Keeper; it says so of the disk if another process of the relay has the record
+// still. Whoever cannot read what it may have promised takes no share; whoever has no record, and can keep none, goes on by the
+// settings' number and promises nothing.
+func (n *Node) begin() {
+	c := n.cfg
+	d, rec, err := openDisk(c.State, c.Site, c.Name)
+	place := c.Place
+	switch {
+	case errors.Is(err, errInUse):
+		place, d.inUse = -1, true
+		if n.disk != nil {
+			n.disk = d
+			return
+		}
+		n.log.Info().Err(err).Msg("members: waiting for it; no share until then")
+	case errors.Is(err, errUnread):
+		place = -1
+		n.log.Error().Err(err).Msg("what the relay has promised cannot be known; it takes no part in choices and no share")
+	case err != nil:
 		n.log.Error().Err(err).Msg("what the relay has promised cannot be kept; it takes no part in choices and no share but its own")
 	}
-	n.keeper = member.New(c.Clock.Now(), member.Config{Name: c.Name, Place: c.Place, Founders: c.Founders, Relays: c.Relays, Seed: c.Seed}, rec)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disk = d
+	n.keeper = member.New(n.now(), member.Config{Name: c.Name, Place: place, Founders: c.Founders, Relays: c.Relays, Seed: c.Seed}, rec)
 	if err != nil {
-		n.keeper.Handle(c.Clock.Now(), member.Unsaved{}, nil)
+		n.keeper.Handle(n.now(), member.Unsaved{}, nil)
 	}
-	return n, nil
 }
 
 // Run takes part until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.stopped)
+	for n.disk.inUse {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(stateEvery):
+		}
+		n.begin()
+	}
 	var all sync.WaitGroup
 	all.Go(func() { n.mesh(ctx) })
 	n.mu.Lock()
@@ -338,10 +370,12 @@
 // missing is an address to join: that of a relay that was there and is not, or a seed that nobody answers at. After a
 // cut both sides have given each other up, and only a new join heals that.
 func (n *Node) missing(list *memberlist.Memberlist, round int) string {
-	there := map[string]bool{}
-	for _, m := range list.Members() {
-		there[m.Address()] = true
+	there := map[string]bool{n.cfg.Bind: true, n.cfg.Tell: true}
+	n.book.Lock()
+	for name := range n.book.there {
+		there[n.book.nodes[name].Address()] = true
 	}
+	n.book.Unlock()
 	var lost []string
 	if list.NumMembers() == 1 || round%seedsEvery == 0 {
 		for _, s := range n.cfg.Seeds {
@@ -352,8 +386,8 @@
 	}
 	if len(lost) == 0 {
 		n.book.Lock()
-		for _, m := range n.book.nodes {
-			if !there[m.Address()] {
+		for name, m := range n.book.nodes {
+			if !n.book.there[name] && !there[m.Address()] {
 				lost = append(lost, m.Address())
 			}
 		}
@@ -595,6 +629,11 @@
 	if w == member.Left { // it is not missed
 		delete(d.book.nodes, m.Name)
 	}
+	if d.book.nodes[m.Name] != nil && w == member.Alive {
+		d.book.there[m.Name] = true
+	} else {
+		delete(d.book.there, m.Name)
+	}
 	d.book.Unlock()
 	(*Node)(d).post(member.Heard{Name: m.Name, Word: w})
 }
