--- a/internal/fleet/member/model_test.go
+++ b/internal/fleet/member/model_test.go
@@ -388,6 +388,7 @@
 func each(t *testing.T, seeds int, play func(seed uint64) error) {
 	var next atomic.Uint64
 	var bad atomic.Int32
+	var played atomic.Uint64
 	var all sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		all.Go(func() {
@@ -400,6 +401,9 @@
 					bad.Add(1)
 					t.Errorf("seed %d: %v", seed, err)
 				}
+				if n := played.Add(1); n%1000 == 0 {
+					t.Logf("%d schedules played, %d failed", n, bad.Load())
+				}
 			}
 		})
 	}
