--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -201,6 +201,19 @@
 		!strings.Contains(figures, `relay_sends{group="map-stream"} 2`+"\n") || !strings.Contains(figures, "relay_current 1\n") {
 		t.Errorf("figures:\n%s", figures)
 	}
+
+	s.Close() // listed still, and dead: the relay avoids it by its own choice once it has met that
+	for i := 0; ; i++ {
+		fmt.Fprintf(dial(t, address), "OPEN dead%d 7f3a c=map-stream,t=acme,d=2000\r\n", i)
+		time.Sleep(100 * time.Millisecond)
+		_, figures := call(t, "GET", ops+"/ops/stats")
+		if strings.Contains(figures, "relay_cluster_unhealthy 1\n") {
+			break
+		}
+		if i == 100 {
+			t.Fatalf("a dead server is not counted as avoided:\n%s", figures)
+		}
+	}
 }
 
 // Both processes of an upgrade keep one set of bans: a ban made at either holds at the other, and over the end
--- a/decide/view.go
+++ b/decide/view.go
@@ -22,3 +22,15 @@
 	}
 	return out
 }
+
+// Shunned is how many of the listed backends get nothing now because they failed, erred or were silent.
+func (b *Balancer) Shunned() (n int) {
+	for _, zone := range b.zones {
+		for _, id := range zone {
+			if b.fleet[id].bad {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/admin/figures.go
+++ b/internal/admin/figures.go
@@ -17,8 +17,6 @@
 type Front struct {
 	Source  Source
 	Classes []string
-	// Shunned is how many listed servers the front's module avoids of its own choice now; nil for none.
-	Shunned func() int
 }
 
 // Figures is the collector of the relay's figures. Each is read from the fronts when it is asked for: no goroutine,
@@ -86,10 +84,7 @@
 		current += float64(fr.Source.Current())
 		cluster := fr.Source.Cluster()
 		size += float64(cluster.Listed)
-		unhealthy += float64(cluster.Banned)
-		if fr.Shunned != nil {
-			unhealthy += float64(fr.Shunned())
-		}
+		unhealthy += float64(cluster.Banned + cluster.Shunned)
 	}
 	for _, name := range order {
 		s := byName[name]
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -136,6 +136,7 @@
 	if now-c.swept >= sweepEvery {
 		c.swept = now
 		c.x.sweep()
+		c.x.shunned.Store(int64(c.balance.Shunned()))
 	}
 	next := sweepEvery
 	if len(c.timers.list) > 0 {
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -122,6 +122,7 @@
 	names    map[string]*Call // the calls that have names
 	lastID   decide.RequestID
 	arrived  atomic.Uint64
+	shunned  atomic.Int64 // as of the last sweep
 	inbox    []decide.Event
 	ready    chan struct{} // holds one token while the inbox has something
 	leaving  bool          // at SIGTERM, for good
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -79,14 +79,16 @@
 
 // Cluster is what the relay knows of the tile servers in the list.
 type Cluster struct {
-	Listed int // in the list, ready or draining
-	Banned int // of those, out by hand
+	Listed  int // in the list, ready or draining
+	Banned  int // of those, out by hand
+	Shunned int // of those that are ready, the ones the module avoids by its own choice
 }
 
 // Cluster counts the servers in the list.
 func (x *Exchange) Cluster() (c Cluster) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	c.Shunned = int(x.shunned.Load())
 	for _, s := range x.roster.servers {
 		if s.listed != decide.GoneMode {
 			c.Listed++
