--- a/internal/fleet/member/model_test.go
+++ b/internal/fleet/member/model_test.go
@@ -289,6 +289,31 @@
 	}
 }
 
+// A relay whose list of servers stays behind a peer's asks discovery once, and again only much later; one that is behind
+// for a moment, as all are while word of a change spreads, does not.
+func TestListBehindIsAskedFor(t *testing.T) {
+	k := New(0, Config{Name: "me", Founders: 3, Relays: 3}, Record{})
+	asked := func(from, to float64, list int64) (n int) {
+		for now := from; now < to; now += 100 {
+			for _, a := range k.Handle(now, Own{Doing: Serving, List: list}, nil) {
+				if _, ok := a.(Refresh); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	k.Handle(0, Heard{"peer", Alive}, nil)
+	k.Handle(0, Told{"peer", Digest{Incarnation: 1, Seq: 1, Founders: 3, Place: 1, List: 5}}, nil)
+	if n := asked(100, 1500, 4) + asked(1500, 4000, 5); n != 0 {
+		t.Errorf("asked %d times, for a moment's lag", n)
+	}
+	k.Handle(4000, Told{"peer", Digest{Incarnation: 1, Seq: 2, Founders: 3, Place: 1, List: 9}}, nil)
+	if n := asked(4000, 10_000, 5); n != 1 {
+		t.Errorf("asked %d times in 6 s behind", n)
+	}
+}
+
 // drawn plays one schedule of faults.
 func drawn(n, founders int, seed uint64, steps int, change func(*Keeper)) *world {
 	founders = min(founders, n)
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -165,6 +165,9 @@
 			for i := range g.Relays {
 				g.Play([]Step{{Do: "rate", Who: i, Value: []float64{0.95, 1.05, 1}[i%3]}})
 			}
+			g.Rule(6, func(r *fault.Rules) { r.StepMs = 3_600_000 }) // and the clock of the day an hour ahead
+			g.Kill(6)
+			g.Start(6)
 			split(0, 0, 0, 0, 1, 1, 1)(t, g)
 		},
 		"delay, doubling, old packets": func(t *testing.T, g *Ground) {
--- a/internal/proving/schedule.go
+++ b/internal/proving/schedule.go
@@ -71,7 +71,7 @@
 	}
 	for range steps {
 		s := Step{AfterMs: 200 + 2500*rng.Float64(), Who: rng.IntN(n), To: rng.IntN(n)}
-		switch rng.IntN(10) {
+		switch rng.IntN(11) {
 		case 0, 1:
 			parts := 2 + rng.IntN(2)
 			for range n {
@@ -90,6 +90,8 @@
 			s.Do = "kill"
 		case 7:
 			s.Do = "stop"
+		case 8:
+			s.Do = "term"
 		default:
 			s.Do = []string{"start", "cont"}[rng.IntN(2)]
 		}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -134,6 +134,12 @@
 	c.SetAddress(service(7))
 	want("/v1/endpoints")
 	want("/v1/endpoints?watch=1&after=7")
+	c.Again() // out of turn: the watch may have gone silent
+	want("/v1/endpoints")
+	want("/v1/endpoints?watch=1&after=7")
+	if g := c.Generation(); g != 7 {
+		t.Errorf("generation %d", g)
+	}
 	c.SetAddress("127.0.0.1:1") // nobody is there: that is a failure, told once
 	for failures.Load() == 0 {
 		time.Sleep(time.Millisecond)
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -363,6 +363,16 @@
 	}
 }
 
+// A digest stays small, whatever it says.
+func TestDigestIsSmall(t *testing.T) {
+	d := good7()
+	d.Zone, d.Incarnation, d.Rate, d.Held, d.List, d.Epoch, d.Hash, d.Seq, d.Sent = strings.Repeat("z", 20), 1<<40, 12345.67, 1<<20, 1<<60, 1<<40, 1<<63, 1<<40, 999.9
+	text, err := seal(strings.Repeat("n", 40), d.Incarnation, d.Seq, kindDigest, d)
+	if err != nil || len(text) > 250 {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+}
+
 // The window takes each number once, in any order, up to 64 behind.
 func TestWindow(t *testing.T) {
 	for seed := range uint64(50) {
