Price at most 128 readings a placement, and keep the order of groups

Cause: best priced every fresh reading, a power each, admit looked at all again, circle ranked the whole list: 631 us a request with 5,000 servers against 13 with 10, with groups 399 against 14 (BenchmarkRequest, new). Pools of up to 128 readings choose as before; TestCircleIsTheFirstByRank checks the kept orders against ranking everything. fresh, which prunes, moved to the books.

--- /dev/null
+++ b/decide/cost_test.go
@@ -0,0 +1,149 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+)
+
+// busy is a relay under load: 1,000 requests a second, each held for 10 s, on so many servers, all of which answer
+// probes at once with a load that follows what is held there. step is one request and all that comes of it.
+type busy struct {
+	b       *Balancer
+	now     time.Duration
+	id      RequestID
+	groups  bool
+	alarms  []happening // by the time they are due
+	ends    []RequestID
+	at      []Backend
+	load    []float64
+	backlog []Action
+}
+
+func newBusy(servers int, groups bool) *busy {
+	set := settings()
+	set.Relays, set.Groups, set.Tick, set.TellsDelay = 1, groups, 5*ms, false
+	set.Tenants[0].Quota, set.Tenants[1].Quota = 20_000, 20_000 // 10,000 connections are a fifth of all capacity
+	y := &busy{b: New(set, 1), now: time.Hour, groups: groups, load: make([]float64, servers)}
+	var list []Entry
+	for i := range servers {
+		list = append(list, Entry{Backend: Backend(i), Mode: Ready, Spot: (uint64(i) + 1) * 0x9e3779b97f4a7c15})
+		y.load[i] = 0.35 + 0.001*float64(i%100)
+	}
+	y.in(Members{Kind: Whole, Entries: list})
+	for i := range 10_000 { // open before this relay started, spread over all servers
+		y.id++
+		r, at := Request{ID: y.id, Tenant: Tenant(i % 2), Left: time.Hour}, Backend(i%servers)
+		if groups {
+			r.Group = 1 + uint64(i)%500
+		}
+		y.in(Inherited{Request: r, Backend: at})
+		y.ends, y.at = append(y.ends, y.id), append(y.at, at)
+	}
+	return y
+}
+
+func (y *busy) in(ev Event) {
+	y.backlog = y.b.Handle(y.now, ev, y.backlog)
+	for len(y.backlog) > 0 {
+		a := y.backlog[0]
+		y.backlog = y.backlog[1:]
+		switch a := a.(type) {
+		case Probe:
+			y.backlog = y.b.Handle(y.now, Probed{Backend: a.Backend, Took: ms, Report: Report{Load: y.load[a.Backend] + 0.2*float64(len(y.load)*len(y.b.fleet[a.Backend].held))/10_000, Inflight: -1, Errors: -1, Busy: -1}}, y.backlog)
+		case Send:
+			y.backlog = y.b.Handle(y.now, Opened{ID: a.ID, Backend: a.Backend, Took: 5 * ms}, y.backlog)
+			y.ends, y.at = append(y.ends, a.ID), append(y.at, a.Backend)
+		case Timer:
+			if a.Token%wakeKinds == wakeWatch { // the only one that matters here
+				y.alarms = append(y.alarms, happening{at: y.now + a.After, order: int(a.Token)})
+			}
+		}
+	}
+	y.backlog = y.backlog[:0]
+}
+
+func (y *busy) step() {
+	y.now += ms
+	for len(y.alarms) > 0 && y.alarms[0].at <= y.now {
+		token := uint64(y.alarms[0].order)
+		y.alarms = y.alarms[1:]
+		y.in(Alarm{Token: token})
+	}
+	if len(y.ends) >= 10_000 {
+		y.in(Outcome{ID: y.ends[0], Backend: y.at[0], Status: OK, Closed: true, Report: NoReport})
+		y.ends, y.at = y.ends[1:], y.at[1:]
+	}
+	y.id++
+	r := Request{ID: y.id, Tenant: Tenant(y.id % 2), Key: uint64(y.id), Left: 2 * time.Second}
+	if y.groups {
+		r.Group = 1 + uint64(y.id)%500
+	}
+	y.in(r)
+}
+
+// A group's circle is the first four by rank of all backends that are listed and well, whatever has been kept of it:
+// through lists that change, failures and their ends.
+func TestCircleIsTheFirstByRank(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	b := New(Settings{Relays: 1, Zones: 3, Groups: true, Probes: true, Tick: ms}, 1)
+	now := time.Hour
+	for range 3000 {
+		now += ms
+		id := Backend(rng.IntN(60))
+		switch rng.IntN(4) {
+		case 0:
+			b.Handle(now, Members{Kind: Delta, Entries: []Entry{{Backend: id, Mode: Mode(rng.IntN(3)), Zone: Zone(rng.IntN(3)), Spot: uint64(id)*7919 + 1}}}, nil)
+		case 1:
+			b.now = now
+			s := b.server(id)
+			s.bad, s.badTill = rng.IntN(5) > 0, now+time.Duration(rng.IntN(300))*ms
+		}
+		b.now = now
+		group := 1 + uint64(rng.IntN(20))
+		var want []Backend
+		for i := range b.fleet {
+			if s := &b.fleet[i]; s.pos >= 0 && !(s.bad && now < s.badTill) {
+				want = append(want, Backend(i))
+			}
+		}
+		rank := func(id Backend) uint64 {
+			r := (b.fleet[id].Spot ^ group) * 0x9e3779b97f4a7c15
+			return (r ^ r>>29) * 0xbf58476d1ce4e5b9
+		}
+		slices.SortFunc(want, func(x, y Backend) int { return cmp.Compare(rank(y), rank(x)) })
+		if want = want[:min(len(want), probesPerPick)]; !slices.Equal(b.circle(group), want) {
+			t.Fatalf("group %d: %v, want %v", group, b.circle(group), want)
+		}
+	}
+}
+
+// What one request costs the module, with all that comes of it, by the number of servers: it must not grow with the
+// fleet.
+func BenchmarkRequest(b *testing.B) {
+	for _, groups := range []bool{false, true} {
+		for _, servers := range []int{10, 90, 1000, 5000} {
+			b.Run(fmt.Sprintf("groups=%v/servers=%d", groups, servers), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				y := newBusy(servers, groups)
+				for range 3_000 {
+					y.step()
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ResetTimer()
+				for range b.N {
+					y.step()
+				}
+				b.ReportMetric(float64(len(y.b.pool)), "pool")
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+			})
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,7 +16,6 @@
 	freshFor      = time.Second             // a reading this young counts as fresh
 	retryEarned   = 0.2                     // retry tokens that an arrival earns its tenant
 	retryBurst    = 2.0                     // most tokens a tenant can save up
-	lateExponent  = 4                       // how steeply messages turn late as load nears capacity
 	fullLoad      = 0.75                    // no backend is given more beyond this load; most is served near it
 	coldShare     = 0.8                     // part of a cold backend's budget that all relays together use
 	watchEvery    = 2 * time.Second         // held backends are looked at this often
@@ -31,6 +30,7 @@
 	stillFor      = 2                       // probes in a row that a silent backend leaves unanswered
 	errorHold     = 4 * time.Second         // an erring backend is left out for up to this, doubling
 	callsAWhile   = 140                     // calls that discovery surely works through in AskWithin
+	mostPriced    = 128                     // readings that a placement looks at: among them one of the best 3%
 )
 
 const ( // kinds of timer, in the low bits of a token
@@ -155,50 +155,40 @@
 	b.wake(wakeRequest, uint64(r.ID), wait)
 }
 
-// fresh prunes the pool and counts the readings that are young or on their way.
-func (b *Balancer) fresh() int {
-	n, sum, keep := 0, 0.0, b.pool[:0]
-	for _, id := range b.pool {
-		s := &b.fleet[id]
-		if s.readAt < 0 || b.now-s.readAt > freshFor {
-			s.pooled = false
-			continue
-		}
-		keep = append(keep, id)
-		sum += s.load
-		if s.Zone == b.set.Zone {
-			n++
-		}
-	}
-	if b.pool = keep; len(keep) > 0 {
-		b.mean = sum / float64(len(keep))
-	}
-	return n
-}
-
 // circle lists a group's backends in an order that all relays agree on, so that its connections, which
 // share work where they meet, meet on few. It acts only where the settings say that groups share.
 func (b *Balancer) circle(group uint64) []Backend {
-	var top [probesPerPick]uint64
-	b.round = append(b.round[:0], -1, -1, -1, -1)[:probesPerPick]
-	for i := range b.fleet {
-		s := &b.fleet[i]
-		if s.pos < 0 || s.bad && b.now < s.badTill {
-			continue
+	b.round = b.round[:0]
+	for _, id := range b.ring(group) {
+		if s := &b.fleet[id]; (!s.bad || b.now >= s.badTill) && len(b.round) < probesPerPick {
+			b.round = append(b.round, id)
 		}
-		id, rank := Backend(i), (s.Spot^group)*0x9e3779b97f4a7c15
-		rank = (rank ^ rank>>29) * 0xbf58476d1ce4e5b9
-		for j := range top { // keep the best few in order
-			if rank > top[j] {
-				rank, top[j] = top[j], rank
-				id, b.round[j] = b.round[j], id
+	}
+	return b.round
+}
+
+// rank returns the first n of all listed backends in a group's order, or of those that are well.
+func (b *Balancer) rank(group uint64, n int, well bool) (out []Backend) {
+	top := make([]uint64, n)
+	for _, zone := range b.zones {
+		for _, id := range zone {
+			if s := &b.fleet[id]; well && s.bad && b.now < s.badTill {
+				continue
+			}
+			rank := (b.fleet[id].Spot ^ group) * 0x9e3779b97f4a7c15
+			rank = (rank ^ rank>>29) * 0xbf58476d1ce4e5b9
+			if len(out) < n {
+				out = append(out, -1)
+			}
+			for j := range out { // keep the best in order
+				if rank > top[j] || out[j] < 0 {
+					rank, top[j] = top[j], rank
+					id, out[j] = out[j], id
+				}
 			}
 		}
 	}
-	if i := slices.Index(b.round, -1); i >= 0 {
-		b.round = b.round[:i]
-	}
-	return b.round
+	return out
 }
 
 // topUp probes up to n backends of a list, at random or in order, and returns how many answers are worth
@@ -313,14 +303,18 @@
 // started took them for nothing, and what room there was for endless.
 func (b *Balancer) adds() float64 { return max(b.perConn, b.supposed()) }
 
-// lateness is the part of messages that come late at a load; what crossing zones costs is weighed against it.
-func lateness(load float64) float64 { return math.Pow(load, lateExponent) }
+// lateness is the part of messages that come late at a load, by its fourth power: so steeply it grows as load
+// nears capacity. What crossing zones costs is weighed against it.
+func lateness(load float64) float64 { return load * load * load * load }
 
 // estimate is a backend's load now: its reading, what this relay has added since, and its part of what others
 // have sent away: those come here next, and would count twice.
 func (b *Balancer) estimate(s *server) float64 {
-	gone := b.talk.Sent * (min(b.now-s.readAt, watchEvery) + reportLag).Seconds() / float64(max(b.listed(), 1))
-	load := max(s.load+(float64(len(s.placed)-len(s.left))-gone)*b.adds(), 0)
+	since := float64(len(s.placed) - len(s.left))
+	if b.talk.Sent > 0 {
+		since -= b.talk.Sent * (min(b.now-s.readAt, watchEvery) + reportLag).Seconds() / float64(max(b.listed(), 1))
+	}
+	load := max(s.load+since*b.adds(), 0)
 	if b.now < s.lagTill { // work is piled up there, whatever load is asked of it now
 		load = max(load, 1)
 	}
@@ -337,7 +331,7 @@
 	}
 	others := b.coming() * b.adds() / float64(max(b.listed(), 1))
 	pick, least := Backend(-1), math.Inf(1)
-	for i := range from { // from a random place on, so that ties break at random
+	for i := range min(len(from), mostPriced) { // from a random place on, so that ties break at random
 		id := from[(start+i)%len(from)]
 		s := &b.fleet[id]
 		if s.readAt < 0 || !b.allowed(r, id, s) {
@@ -436,13 +430,13 @@
 	if s.readAt < 0 || b.adds() <= 0 {
 		return true
 	}
-	roomy := 0
-	for _, id := range b.pool {
+	roomy, seen := 0, min(len(b.pool), mostPriced)
+	for _, id := range b.pool[:seen] {
 		if b.estimate(&b.fleet[id]) < fullLoad {
 			roomy++
 		}
 	}
-	share := float64(roomy) / float64(len(b.pool)) * float64(b.listed()) // backends that have room
+	share := float64(roomy) / float64(seen) * float64(b.listed()) // backends that have room
 	return b.rng.Float64()*b.coming()*b.adds() < (fullLoad-b.estimate(s))*share
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -88,6 +88,10 @@
 	late     int // set-ups timed out since the last that came
 	asked    int // failed calls to discovery in a row
 	talk     Fleet
+	prunedAt time.Duration // when the pool was pruned
+	atHome   int           // and how many of it were of this relay's zone
+	rings    map[uint64]ring
+	listing  uint64 // rises as backends come to or leave the lists
 }
 
 // New returns the Balancer of a relay that has just started. Settings that make no sense are replaced
@@ -159,6 +163,7 @@
 // enter writes one line of discovery's list into the books.
 func (b *Balancer) enter(e Entry) {
 	s := b.server(e.Backend)
+	was, spot := s.pos >= 0, s.Spot
 	if s.pos >= 0 && (e.Mode != Ready || e.Zone != s.Zone) {
 		list := b.zones[s.Zone]
 		b.swap(list, s.pos, len(list)-1)
@@ -170,6 +175,35 @@
 		s.pos = len(b.zones[e.Zone])
 		b.zones[e.Zone] = append(b.zones[e.Zone], e.Backend)
 	}
+	if is := s.pos >= 0; is != was || is && s.Spot != spot {
+		b.listing++
+	}
+}
+
+// fresh prunes the pool and counts the readings that are young or on their way. Of a large pool some may be
+// older for a moment: to look at all of it for each request would cost more than all else.
+func (b *Balancer) fresh() int {
+	if len(b.pool) > mostPriced && b.now-b.prunedAt < freshFor/16 {
+		return b.atHome
+	}
+	n, sum, keep := 0, 0.0, b.pool[:0]
+	for _, id := range b.pool {
+		s := &b.fleet[id]
+		if s.readAt < 0 || b.now-s.readAt > freshFor {
+			s.pooled = false
+			continue
+		}
+		keep = append(keep, id)
+		sum += s.load
+		if s.Zone == b.set.Zone {
+			n++
+		}
+	}
+	if b.pool = keep; len(keep) > 0 {
+		b.mean = sum / float64(len(keep))
+	}
+	b.prunedAt, b.atHome = b.now, n
+	return n
 }
 
 // listed is how many backends may be given work.
@@ -293,3 +327,38 @@
 	}
 	return float64(b.held * b.set.Relays)
 }
+
+// ring is the beginning of a group's order, as it was at some listing.
+type ring struct {
+	listing uint64
+	order   []Backend
+}
+
+// ringsKept bounds the groups whose order is kept; ringLen is how much of it, since backends may be bad.
+const (
+	ringsKept = 4096
+	ringLen   = 4 * probesPerPick
+)
+
+// ring returns the beginning of a group's order, or those in it that are well where too few of the
+// beginning are.
+func (b *Balancer) ring(group uint64) []Backend {
+	r, ok := b.rings[group]
+	if !ok || r.listing != b.listing {
+		if b.rings == nil || len(b.rings) >= ringsKept {
+			b.rings = map[uint64]ring{}
+		}
+		r = ring{listing: b.listing, order: b.rank(group, ringLen, false)}
+		b.rings[group] = r
+	}
+	well := 0
+	for _, id := range r.order {
+		if s := &b.fleet[id]; !s.bad || b.now >= s.badTill {
+			well++
+		}
+	}
+	if well >= probesPerPick || len(r.order) < ringLen {
+		return r.order
+	}
+	return b.rank(group, probesPerPick, true)
+}
