--- a/internal/wire/gossip/figures.go
+++ b/internal/wire/gossip/figures.go
@@ -68,7 +68,7 @@
 	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 	}
-	states, in := map[string]float64{"here": 0, "alive": 0, "suspected": 0, "failed": 0, "left": 0}, 0.0
+	states, in := map[string]float64{"here": 0, "alive": 0, "failed": 0, "left": 0, "unheard": 0}, 0.0
 	for _, m := range r.Members {
 		states[m.State]++
 		if m.Member {
