--- a/internal/command/members.go
+++ b/internal/command/members.go
@@ -99,7 +99,7 @@
 		fmt.Fprintf(w, "agreed last %s ago\n", (time.Duration(r.AgreedMs) * time.Millisecond).Round(time.Second))
 	}
 	tab := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tab, "RELAY\tSTATE\tSINCE\tDOES\tZONE\tVIEW\tSHARE\tMAY TAKE\tEPOCH\tPER S\tHELD\tKNOWN BY")
+	fmt.Fprintln(tab, "RELAY\tSTATE\tSINCE\tDOES\tZONE\tVIEW\tSHARE\tMAY TAKE\tEPOCH\tSTARTS\tPER S\tHELD\tKNOWN BY")
 	for _, m := range r.Members {
 		view := "-"
 		if m.Member {
@@ -108,8 +108,8 @@
 		if m.Voter {
 			view += ", voter"
 		}
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%s\t%s\t%.4f\t%.4f\t%d\t%.1f\t%d\t%s\n", m.Name, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(100*time.Millisecond),
-			m.Doing, m.Zone, view, m.Share, max(m.Share, m.Bound), m.Epoch, m.Rate, m.Held, m.How)
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%s\t%s\t%.4f\t%.4f\t%d\t%d\t%.1f\t%d\t%s\n", m.Name, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(100*time.Millisecond),
+			m.Doing, m.Zone, view, m.Share, max(m.Share, m.Bound), m.Epoch, m.Incarnation, m.Rate, m.Held, m.How)
 	}
 	if err := tab.Flush(); err != nil {
 		return err
