--- a/internal/proving/operator_test.go
+++ b/internal/proving/operator_test.go
@@ -45,12 +45,25 @@
 	}
 	await(t, patience(), "figures", figures(`relay_members{state="alive"} 2`, `relay_members_in_view 3`, `relay_members_phase{phase="agreed"} 1`))
 
-	watch := exec.Command(program, "members", "watch", "--socket", g.Relays[0].Socket)
-	seen := &strings.Builder{}
-	watch.Stdout = seen
+	watch := exec.Command(program, "members", "watch", "--socket", g.Relays[0].Socket, "--every", "50ms")
+	shown, err := os.Create(g.Relays[0].file("watched"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer shown.Close()
+	watch.Stdout = shown
+	seen := func(want string) func() error {
+		return func() error {
+			if text, _ := os.ReadFile(shown.Name()); !strings.Contains(string(text), want) {
+				return fmt.Errorf("no %q in:\n%s", want, text)
+			}
+			return nil
+		}
+	}
 	if err := watch.Start(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { watch.Process.Kill() })
 	// A drain by hand is told, and takes the relay's share; its end gives it back.
 	http.Post("http://"+g.Relays[1].Admin+"/ops/drain/start", "", nil)
 	await(t, patience(), "the drain is told", func() error {
@@ -59,6 +72,7 @@
 		}
 		return nil
 	})
+	await(t, patience(), "and watched", seen("r1: alive, draining"))
 	http.Post("http://"+g.Relays[1].Admin+"/ops/drain/stop", "", nil)
 	await(t, patience(), "its end too", g.settled)
 	g.Kill(2)
@@ -76,10 +90,10 @@
 		}
 		return nil
 	})
-	time.Sleep(700 * time.Millisecond)
+	await(t, patience(), "and watched", seen("r2: failed"))
 	watch.Process.Signal(syscall.SIGINT)
-	if err := watch.Wait(); err != nil || !strings.Contains(seen.String(), "r2: failed") || !strings.Contains(seen.String(), "r1: alive, draining") {
-		t.Errorf("%v: %s", err, seen)
+	if err := watch.Wait(); err != nil {
+		t.Error(err)
 	}
 }
 
