--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -254,17 +254,17 @@
 	}
 }
 
-// What members cost by their number, as a chart into the file that CAPERSAIL_CHART names.
+// What members cost by their number, as a chart: in full into the file that CAPERSAIL_CHART names.
 func TestCostOfMembers(t *testing.T) {
-	path := os.Getenv("CAPERSAIL_CHART")
-	if path == "" {
-		t.Skip("CAPERSAIL_CHART is not set")
+	path, sizes, watch := os.Getenv("CAPERSAIL_CHART"), []int{10, 30, 100, 300}, 30*time.Second
+	if path == "" { // one small fleet, to see that the chart is drawn
+		path, sizes, watch = filepath.Join(t.TempDir(), "members.svg"), []int{10}, time.Second
 	}
 	panels := []proving.Panel{{Title: "What each relay sends and computes", X: "relays", LogX: true, Names: []string{"KB of packets a second", "ms of CPU a second"}, Lines: make([]plotter.XYs, 2)},
 		{Title: "How soon all views have it", X: "relays", Y: "s", LogX: true, Names: []string{"a dead one is out", "one that is back is in", "one view after the start of all"}, Lines: make([]plotter.XYs, 3)}}
-	for _, n := range []int{10, 30, 100, 300} {
+	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			c := measure(t, n, 30*time.Second)
+			c := measure(t, n, watch)
 			for i, y := range []float64{c.bytes / 1000, c.cpuMs} {
 				panels[0].Lines[i] = append(panels[0].Lines[i], plotter.XY{X: float64(n), Y: y})
 			}
