Give each proving ground a place of its own, and count views only once shares are settled

TestRelaysAgreeThroughFaults/halves: all seven relays found their address taken while nothing else of the machine listens there: two grounds that stood at once had drawn one net, as it was tried and let go again. Now the ports are drawn too, below those given out for a moment, and held at the net's last address until the ground is closed.

--- a/internal/proving/proving.go
+++ b/internal/proving/proving.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -66,6 +67,7 @@
 	Discovery *standin.Discovery
 	Relays    []*Relay
 
+	at     *place
 	mu     sync.Mutex
 	events []fault.Noted
 	cut    map[[2]int]bool
@@ -93,18 +95,40 @@
 	return string(text)
 }
 
-// ownNet is the beginning of loopback addresses that this ground has for itself, so that grounds can stand side by
-// side and no port that is given out for a moment is in the way.
-func ownNet() (string, error) {
+// place is what a ground has of loopback for itself: a net, and the ports that its relays have there.
+type place struct {
+	net                   string // 127.x.y.
+	gossip, listen, admin int
+	held                  []net.Listener
+}
+
+// take takes a place that nobody has. The ports are below those that are given out for a moment, and are held at the
+// net's last address until the ground is closed: so neither a ground of this process or of another nor whoever has one of
+// them for all addresses can be in the way of a relay.
+func take() (*place, error) {
 	for range 100 {
-		begin := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(256))
-		l, err := net.Listen("tcp", begin+"254:7946")
-		if err != nil {
-			continue
+		base := 10_000 + rand.IntN(20_000)
+		p := &place{net: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(256)), gossip: base, listen: base + 1, admin: base + 2}
+		for port := base; port < base+3; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s254:%d", p.net, port))
+			if err != nil {
+				p.release()
+				break
+			}
+			p.held = append(p.held, l)
+		}
+		if len(p.held) == 3 {
+			return p, nil
 		}
-		return begin, l.Close()
 	}
-	return "", errors.New("no loopback net is free")
+	return nil, errors.New("no loopback net is free")
+}
+
+func (p *place) release() {
+	for _, l := range p.held {
+		l.Close()
+	}
+	p.held = nil
 }
 
 // New lays a ground out. No process runs yet. example is the path of the example's configuration.
@@ -119,18 +143,18 @@
 	if err != nil {
 		return nil, err
 	}
-	net, err := ownNet()
+	at, err := take()
 	if err != nil {
 		return nil, err
 	}
-	g := &Ground{Plan: p, Discovery: d, cut: map[[2]int]bool{}}
+	g := &Ground{Plan: p, Discovery: d, cut: map[[2]int]bool{}, at: at}
 	for i := range p.Relays {
 		r := &Relay{Name: fmt.Sprintf("r%d", i), dir: filepath.Join(p.Dir, fmt.Sprintf("r%d", i)), rules: fault.Rules{Seed: uint64(i)}}
 		if err := os.MkdirAll(r.dir, 0o700); err != nil {
 			return nil, err
 		}
-		host := fmt.Sprintf("%s%d", net, i+1)
-		r.Gossip, r.Listen, r.Admin = host+":7946", host+":8000", host+":9000"
+		host := fmt.Sprintf("%s%d:", at.net, i+1)
+		r.Gossip, r.Listen, r.Admin = host+strconv.Itoa(at.gossip), host+strconv.Itoa(at.listen), host+strconv.Itoa(at.admin)
 		r.Socket = filepath.Join(r.dir, "s")
 		g.Relays = append(g.Relays, r)
 	}
@@ -283,6 +307,7 @@
 	for i := range g.Relays {
 		g.Kill(i)
 	}
+	g.at.release()
 }
 
 // Rule changes a relay's faults.
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -222,6 +222,16 @@
 		}
 	}
 	c.formed = await(t, 2*time.Minute, "one view", everybody(n, nil)).Seconds()
+	// The first view of all gives shares that still grow; the views that follow for that are nobody's coming or going.
+	await(t, time.Minute, "every share at its target, by one view at all", func() bool {
+		first := all[0].Reckoning()
+		for _, node := range all {
+			if r := node.Reckoning(); r.Phase != member.Agreed || r.Epoch != first.Epoch {
+				return false
+			}
+		}
+		return true
+	})
 	e.loss.Store(1)
 	quiet.Store(true)
 	bytesAt, cpuAt, began := e.sent.Load(), cpu(), time.Now()
