--- /dev/null
+++ b/internal/fleet/subset/assign.go
@@ -0,0 +1,135 @@
+// Package subset decides what each of many relays does of what all need only once: who looks at which server, and whose
+// readings are believed. It is fed events, takes time as an argument, returns actions, and does no I/O. docs/design/fleet.md
+// has the reasons.
+package subset
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Relay is one that takes part.
+type Relay struct {
+	Name string
+	Zone string
+}
+
+// Server is one that is to be looked at.
+type Server struct {
+	Spot    uint64 // its number, the same at every relay
+	Zone    string
+	Started int64 // when its process started, Unix ms; 0 for long ago
+}
+
+// Lookers is how many relays look at each server: three, so that one that tells nonsense is outvoted by two.
+const Lookers = 3
+
+// spare is how much more than the mean a relay may be given to look at, as a part of the mean. With none, whoever comes
+// last gets what is left over, and one relay more or less moves much.
+const spare = 0.25
+
+// Table says who looks at which server.
+type Table struct {
+	relays []string
+	lists  [][]int32 // by server, as given: the relays that look at it, in the order in which they were chosen
+}
+
+// Assign gives each server Lookers relays, or all where there are fewer. Each server takes the relays that rank highest in
+// an order of its own (rendezvous hashing), those of its zone first, but none that has its fill: so the relays' parts are
+// even, and one relay or server more or less changes few others. Whoever is given the same lists gets the same table,
+// whatever the order they come in.
+//
+// At least one looker is of another zone where there is one: a zone that is cut off is seen by those outside as what it
+// is, and two of three are near, where a look costs no crossing.
+func Assign(relays []Relay, servers []Server) *Table {
+	relays = slices.Clone(relays)
+	slices.SortFunc(relays, func(a, b Relay) int { return cmp.Compare(a.Name, b.Name) })
+	relays = slices.CompactFunc(relays, func(a, b Relay) bool { return a.Name == b.Name })
+	t := &Table{lists: make([][]int32, len(servers))}
+	for _, r := range relays {
+		t.relays = append(t.relays, r.Name)
+	}
+	each := min(Lookers, len(relays))
+	if each == 0 {
+		return t
+	}
+	seeds := make([]uint64, len(relays))
+	for i, r := range relays {
+		seeds[i] = hash(r.Name)
+	}
+	order := make([]int, len(servers))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(mix(servers[a].Spot), mix(servers[b].Spot)) })
+	mean := float64(each*len(servers)) / float64(len(relays))
+	fill := max(int32(mean*(1+spare)+0.999), 1)
+	taken := make([]int32, len(relays))
+	for _, s := range order {
+		t.lists[s] = choose(servers[s], relays, seeds, taken, fill, each)
+	}
+	return t
+}
+
+// choose picks a server's lookers: up to each-1 of its zone, the rest of others, what is short from anywhere; all with room
+// first. The last resort, a relay that has its fill, is needed only where rounding leaves no room elsewhere.
+func choose(s Server, relays []Relay, seeds []uint64, taken []int32, fill int32, each int) []int32 {
+	picked := make([]int32, 0, each)
+	pick := func(want int, ok func(i int) bool) {
+		for len(picked) < want {
+			best, top := int32(-1), uint64(0)
+			for i := range relays {
+				if rank := mix(seeds[i] ^ s.Spot); (best < 0 || rank > top) && ok(i) && !slices.Contains(picked, int32(i)) {
+					best, top = int32(i), rank
+				}
+			}
+			if best < 0 {
+				return
+			}
+			taken[best]++
+			picked = append(picked, best)
+		}
+	}
+	near := func(i int) bool { return relays[i].Zone == s.Zone }
+	room := func(i int) bool { return taken[i] < fill }
+	pick(max(each-1, 1), func(i int) bool { return near(i) && room(i) })
+	pick(each, func(i int) bool { return !near(i) && room(i) })
+	pick(each, room)
+	pick(each, func(int) bool { return true })
+	return picked
+}
+
+// Of returns the names of a server's lookers, by its place in the list that Assign was given.
+func (t *Table) Of(server int) []string {
+	out := make([]string, len(t.lists[server]))
+	for i, r := range t.lists[server] {
+		out[i] = t.relays[r]
+	}
+	return out
+}
+
+// rank is a relay's place among a server's lookers, negative if it is none.
+func (t *Table) rank(server int, relay string) int {
+	for i, r := range t.lists[server] {
+		if t.relays[r] == relay {
+			return i
+		}
+	}
+	return -1
+}
+
+// hash is FNV-1a of a name.
+func hash(s string) uint64 {
+	h := uint64(0xcbf29ce484222325)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 0x100000001b3
+	}
+	return h
+}
+
+// mix spreads a number's bits (the finish of splitmix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
