Open a watch anew at once when it has fallen silent, before the module's back-off

Ruled out: sends are checked against the newest list right before their first byte. At fault: Client.Run, which told Failed for silence. Now another watch is opened at once, after the version held, and only its failure is told. Test: TestSilentWatchIsOpenedAnew.

--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,7 @@
 	clock *memory.Clock
 	tell  func(decide.ListKind, []memory.Listed)
 	log   zerolog.Logger
+	quiet float64       // ms without a line after which a watch has fallen silent
 	asks  chan bool     // true for a watch, false for the whole list
 	moved chan struct{} // holds one token while a new address waits to be followed
 
@@ -54,7 +56,7 @@
 
 // NewClient returns a client of the service at an address.
 func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
-	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
+	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, quiet: quietWithin, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
 }
 
 // SetAddress follows discovery to another address at once. The call that is out is ended, and the module
@@ -121,10 +123,15 @@
 // anew is the version of a list that cannot be compared: another service counts its own.
 const anew = -1
 
+// errSilent ends a watch that had begun and brings no line any more. What it misses counts as told 6 s after it fell
+// silent, so another is opened at once, and the module hears of it only if that one fails: its back-off, up to 7.5 s for
+// 300 relays, is for a service that answers too many.
+var errSilent = errors.New("silent")
+
 // Run carries calls out, one after the other, until the context ends. version is that of the list held.
 func (c *Client) Run(ctx context.Context, version int64) {
-	for watch, moved := false, false; ; moved = len(c.moved) > 0 {
-		if !moved {
+	for watch, moved, silent := false, false, false; ; moved = len(c.moved) > 0 {
+		if !moved && !silent {
 			select {
 			case <-ctx.Done():
 				return
@@ -142,6 +149,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if silent = errors.Is(err, errSilent) && len(c.moved) == 0; silent {
+			c.log.Info().Msg("the watch has fallen silent; opening another")
+			watch = true
+			continue
+		}
 		if len(c.moved) == 0 && (watch || err != nil) {
 			c.log.Info().Err(err).Bool("watch", watch).Msg("discovery call ended")
 			c.settle()
@@ -166,7 +178,9 @@
 func (c *Client) visit(ctx context.Context, address string, watch bool, version *int64) error {
 	const path = "/v1/endpoints"
 	if *version == anew || !watch {
-		if err := c.call(ctx, address, path, version); err != nil || !watch {
+		if err := c.call(ctx, address, path, version); errors.Is(err, errSilent) { // no watch: a whole list that was cut short
+			return errors.New("the list stopped in the middle")
+		} else if err != nil || !watch {
 			return err
 		}
 	}
@@ -193,8 +207,8 @@
 		return err
 	}
 	lines := bufio.NewReaderSize(body, 64<<10)
-	for {
-		within(quietWithin)
+	for begun := false; ; begun = true {
+		within(c.quiet)
 		line, err := readLine(lines)
 		if text := strings.TrimSpace(string(line)); text != "" {
 			list, err := Parse(text, c.log)
@@ -212,6 +226,9 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		if begun && errors.Is(err, os.ErrDeadlineExceeded) {
+			return errSilent
+		}
 		if err != nil {
 			return fmt.Errorf("read: %w", err)
 		}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -152,6 +152,52 @@
 	}
 }
 
+// A watch that has begun and falls silent is opened anew at once, after the version that came last, and the module's back-off
+// of up to 7.5 s is not waited for: what was missed counts as told 6 s later. One that is silent from its begin is a failure.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan string, 8)
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			first, _ := bufio.NewReader(conn).ReadString('\n')
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			if n < 2 {
+				list := fmt.Sprintf("{\"generation\":%d,\"reset\":true,\"instances\":[]}\n", 50+n)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(list), list)
+			}
+			asked <- strings.Fields(first)[1]
+		}
+	}()
+	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	c := NewClient(l.Addr().String(), x, zerolog.Nop())
+	c.quiet = 700
+	failed := make(chan int, 8)
+	c.tell = func(kind decide.ListKind, _ []memory.Listed) {
+		if kind == decide.Failed {
+			failed <- len(asked)
+		}
+	}
+	go c.Run(t.Context(), 41)
+	c.Watch()
+	if n := <-failed; n != 3 {
+		t.Errorf("the module was told of a failure after %d calls", n)
+	}
+	close(asked)
+	for _, want := range []string{"after=41", "after=50", "after=51"} {
+		if got := <-asked; !strings.HasSuffix(got, want) {
+			t.Errorf("asked for %q, want %q", got, want)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(`{"generation":3,"reset":true,"instances":[` + ready + `]}`)
 	f.Add(`{"instances":[{}]}`)
