--- a/internal/lifecycle/members.go
+++ b/internal/lifecycle/members.go
@@ -208,7 +208,7 @@
 		}, nil
 	}
 	p.leave = func() { node.Leave() }
-	p.figures = func() prometheus.Collector { return node.Figures() }
+	p.figures = func() prometheus.Collector { return collectors{node.Figures(), newLooksFigures(shared.Report)} }
 	p.stop = func() {
 		if door != nil {
 			door.Close()
--- a/internal/proving/operator_test.go
+++ b/internal/proving/operator_test.go
@@ -43,7 +43,7 @@
 			return nil
 		}
 	}
-	await(t, patience(), "figures", figures(`relay_members{state="alive"} 2`, `relay_members_in_view 3`, `relay_members_phase{phase="agreed"} 1`))
+	await(t, patience(), "figures", figures(`relay_members{state="alive"} 2`, `relay_members_in_view 3`, `relay_members_phase{phase="agreed"} 1`, `relay_looks_relays 3`, `relay_looks_doubted 0`))
 
 	watch := exec.Command(program, "members", "watch", "--socket", g.Relays[0].Socket, "--every", "50ms")
 	shown, err := os.Create(g.Relays[0].file("watched"))
