Give the second client of TestServerEnds a name of its own

The second client asked under the first one's name, which may stand for a moment after its end, and was told ERR; the test threw that line away.

--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -231,8 +231,10 @@
 	if a, b := c.next(), c.next(); a != "BYE x0=0.5" || b != "end" {
 		t.Errorf("%q, %q", a, b)
 	}
-	c = dial(t, address, open)
-	c.next()
+	c = dial(t, address, strings.Replace(open, "a1", "a2", 1)) // the first may still hold its name
+	if got := c.next(); got != "UP a2" {
+		t.Fatal(got)
+	}
 	servers[0].Close()
 	if got := c.next(); got != "broken" {
 		t.Errorf("a reset came as %q", got)
