End the Nodes of a test before the folder that they write to is removed

TestCostOfMembers failed once in three runs of its package: the folder was removed first, as what is put off last is done first, while Nodes still kept their records there. Now it is made before their end is put off; three runs pass.

--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -148,6 +148,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	var all []*Node
+	dir := t.TempDir() // before the end of the Nodes is put off: what is put off last is done first, and they write to it
 	t.Cleanup(func() {
 		stop()
 		for _, node := range all {
@@ -156,7 +157,7 @@
 	})
 	for i := range n {
 		name := fmt.Sprintf("r%03d", i)
-		c := Config{Name: name, Site: "ether", Bind: address(i), Seeds: []string{address(0), address(1)}, State: filepath.Join(t.TempDir(), name), Place: i, Founders: n, Relays: n,
+		c := Config{Name: name, Site: "ether", Bind: address(i), Seeds: []string{address(0), address(1)}, State: filepath.Join(dir, name), Place: i, Founders: n, Relays: n,
 			Seed: uint64(i), Clock: memory.NewClock(), Self: func() Self { return Self{Doing: member.Serving, List: 1} }, Log: zerolog.Nop()}
 		if notice != nil {
 			c.Notice = func(ch member.Changed) { notice(name, ch) }
