Write counts by reason and times between two moments once each; doubt has no end to tell

A look for duplicates showed both pairs, and Doubt's On was never false: a relay is taken in again after 30 s without a word.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"sort"
 	"strings"
 	"text/tabwriter"
 
@@ -67,13 +66,6 @@
 	if err := tab.Flush(); err != nil {
 		return err
 	}
-	if len(looks.Dropped) > 0 {
-		var all []string
-		for why, n := range looks.Dropped {
-			all = append(all, fmt.Sprintf("%s %d", why, n))
-		}
-		sort.Strings(all)
-		fmt.Fprintln(w, "readings left out:", strings.Join(all, ", "))
-	}
+	showCounts(w, "readings left out:", looks.Dropped)
 	return nil
 }
--- a/internal/command/members.go
+++ b/internal/command/members.go
@@ -126,17 +126,23 @@
 	if err := tab.Flush(); err != nil {
 		return err
 	}
-	if len(r.Dropped) > 0 {
-		var all []string
-		for why, n := range r.Dropped {
-			all = append(all, fmt.Sprintf("%s %d", why, n))
-		}
-		sort.Strings(all)
-		fmt.Fprintln(w, "dropped:", strings.Join(all, ", "))
-	}
+	showCounts(w, "dropped:", r.Dropped)
 	return nil
 }
 
+// showCounts is a line of what was left out, by reason; none where nothing was.
+func showCounts(w io.Writer, what string, counts map[string]uint64) {
+	if len(counts) == 0 {
+		return
+	}
+	var all []string
+	for why, n := range counts {
+		all = append(all, fmt.Sprintf("%s %d", why, n))
+	}
+	sort.Strings(all)
+	fmt.Fprintln(w, what, strings.Join(all, ", "))
+}
+
 // memberChanges are the differences between two answers of a relay, a line each.
 func memberChanges(old, now *member.Report) (lines []string) {
 	if old == nil || old.Phase != now.Phase || old.Epoch != now.Epoch || old.Share != now.Share {
--- a/internal/fleet/subset/readings.go
+++ b/internal/fleet/subset/readings.go
@@ -97,11 +97,8 @@
 		To       string
 		Readings []Reading
 	}
-	// Doubt is for people: a relay's readings are left out, or no longer.
-	Doubt struct {
-		Name string
-		On   bool
-	}
+	// Doubt is for people: a relay's readings are left out for a while.
+	Doubt struct{ Name string }
 )
 
 func (Look) action()    {}
@@ -300,7 +297,7 @@
 		o.strikes++
 		if o.strikes >= strikesOut && k.now >= o.till {
 			o.till, o.strikes = k.now+doubtFor, 0
-			k.do(Doubt{Name: r.By, On: true})
+			k.do(Doubt{Name: r.By})
 		}
 	case b == h:
 		o.strikes = max(o.strikes-0.5, 0)
--- a/internal/lifecycle/members.go
+++ b/internal/lifecycle/members.go
@@ -169,8 +169,8 @@
 		if node, err = gossip.New(conf); err == nil {
 			s.fleet = node
 			if m.Looks {
-				shared = memory.NewShared(s.x, conf.Name, conf.Seed, node, func(name string, on bool) {
-					log.Warn().Str("member", name).Bool("left_out", on).Msg("two others contradict what it reads at servers")
+				shared = memory.NewShared(s.x, conf.Name, conf.Seed, node, func(name string) {
+					log.Warn().Str("member", name).Msg("its readings of servers are left out for 30 s: two others contradict them")
 					s.notice(member.Changed{What: "peer", Name: name, State: "doubted", Cause: "two others contradict its readings"})
 				})
 				s.shared = shared
--- a/internal/memory/shared.go
+++ b/internal/memory/shared.go
@@ -38,11 +38,11 @@
 	ids     map[uint64]string
 	waiting atomic.Int64
 	report  atomic.Pointer[subset.Report]
-	doubt   func(name string, on bool)
+	doubt   func(name string)
 }
 
 // NewShared returns what is to be put into a Core and told to the peers. doubt is told when a relay's readings are left out.
-func NewShared(x *Exchange, relay string, seed uint64, peers Peers, doubt func(name string, on bool)) *Shared {
+func NewShared(x *Exchange, relay string, seed uint64, peers Peers, doubt func(name string)) *Shared {
 	return &Shared{peers: peers, x: x, keeper: subset.New(relay, seed), doubt: doubt, ids: map[uint64]string{}}
 }
 
@@ -182,7 +182,7 @@
 					Report: decide.Report{Load: l.Load, Inflight: l.Inflight, Errors: l.Errors, Busy: l.Busy}})
 			}
 		case subset.Doubt:
-			s.doubt(a.Name, a.On)
+			s.doubt(a.Name)
 		default:
 			s.out = append(s.out, a)
 		}
--- a/internal/proving/load.go
+++ b/internal/proving/load.go
@@ -52,22 +52,15 @@
 }
 
 // Probed is how many probes came between two moments.
-func (k *Sink) Probed(from, to float64) (n int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, at := range k.probed {
-		if at >= from && at < to {
-			n++
-		}
-	}
-	return n
-}
+func (k *Sink) Probed(from, to float64) int { return len(k.between(&k.probed, from, to)) }
 
 // Came are the times at which connections came between two moments.
-func (k *Sink) Came(from, to float64) (all []float64) {
+func (k *Sink) Came(from, to float64) []float64 { return k.between(&k.came, from, to) }
+
+func (k *Sink) between(times *[]float64, from, to float64) (all []float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, at := range k.came {
+	for _, at := range *times {
 		if at >= from && at < to {
 			all = append(all, at)
 		}
