After a move of discovery open one watch after the version held, not a list and a watch

Ruled out: processor time, the spread at the start (37 calls a second, none refused). Lines at fault: Run set the version aside on a move, so visit made two calls, the dear one first. Now one watch follows after the version held, as by the protocol all relays' discovery is one service, and one that cannot tell what changed brings the whole list; changes of an older version than the one held are refused and the list is taken whole.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -312,7 +312,7 @@
 // estimate is a backend's load now: its reading, what this relay has added since, and its part of what others
 // have sent away: those come here next, and would count twice.
 func (b *Balancer) estimate(s *server) float64 {
-	since := float64(len(s.placed) - len(s.left))
+	since := float64(len(s.placed) + len(s.others) - len(s.left))
 	if b.talk.Sent > 0 {
 		since -= b.talk.Sent * (min(b.now-s.readAt, watchEvery) + reportLag).Seconds() / float64(max(b.listed(), 1))
 	}
@@ -459,7 +459,7 @@
 	if b.talk.Others >= 0 {
 		all = b.rate() + b.talk.Others
 	}
-	return all * reportLag.Seconds()
+	return all * b.unseen().Seconds()
 }
 
 // anyone is the gentle fallback when no reading is left: a backend at random, first at home and well,
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,6 +43,7 @@
 	pooled    bool
 	probeTill time.Duration   // a probe is under way, or lost, until then
 	placed    []time.Duration // when, own placements that the reading may not count yet
+	others    []time.Duration // the same of other relays', where they tell
 	held      []RequestID     // own open connections and attempts
 	left      []time.Duration // the same of own connections that are gone
 	guess     bool            // no reading has come yet: the load is what this relay holds there
@@ -134,7 +135,7 @@
 
 // settle drops the placements that a reading counts: those made before it was taken.
 func (s *server) settle(taken time.Duration) {
-	for _, list := range []*[]time.Duration{&s.placed, &s.left} {
+	for _, list := range []*[]time.Duration{&s.placed, &s.others, &s.left} {
 		*list = slices.DeleteFunc(*list, func(at time.Duration) bool { return at <= taken })
 	}
 }
@@ -209,6 +210,12 @@
 
 // told takes in what another relay read: evidence with an age. It is no word of a server that failed this relay.
 func (b *Balancer) told(e Told) {
+	if e.Sent > 0 {
+		if s := b.server(e.Backend); b.now-e.Age+reportLag > s.readAt {
+			s.others = append(s.others, slices.Repeat([]time.Duration{b.now - e.Age}, min(e.Sent, othersKept-min(len(s.others), othersKept)))...)
+		}
+		return
+	}
 	if s := b.server(e.Backend); !s.bad && s.pos >= 0 && b.now-e.Age > s.readAt {
 		s.settle(b.now - e.Age - reportLag)
 		b.read(s, Probed{Backend: e.Backend, Report: e.Report})
@@ -227,6 +234,18 @@
 	return mostPriced
 }
 
+// othersKept bounds what is kept of other relays' placements at one backend.
+const othersKept = 1024
+
+// unseen is the time of which neither readings nor, where other relays tell what they send, their word speaks yet: a round of
+// word and its way through the fleet.
+func (b *Balancer) unseen() time.Duration {
+	if b.talk.Summed {
+		return reportLag / 2
+	}
+	return reportLag
+}
+
 // usable is how old a reading may be that a placement goes by: one that is passed on is older, and comes unasked.
 func (b *Balancer) usable() time.Duration {
 	if b.talk.Shared {
--- a/decide/types.go
+++ b/decide/types.go
@@ -212,11 +212,12 @@
 		Took    time.Duration
 		Report  Report
 	}
-	// Told is what another relay read at a backend so long ago.
+	// Told is what another relay read at a backend so long ago, or, with Sent, how many connections it sent there then.
 	Told struct {
 		Backend Backend
 		Age     time.Duration
 		Report  Report
+		Sent    int
 	}
 	// LoadNote tells a connection's load now, in seconds of work a second.
 	LoadNote struct {
@@ -239,6 +240,7 @@
 		Held   int           // connections that the other relays hold, negative if that is not known
 		Sent   float64       // connections a second that the other relays send away, as one that drains does
 		Shared bool          // other relays' readings come
+		Summed bool          // and what they send to backends
 	}
 	// Peer is a message from another relay.
 	Peer struct {
--- a/internal/fleet/subset/readings.go
+++ b/internal/fleet/subset/readings.go
@@ -141,6 +141,7 @@
 	life    uint64
 	offset  float64 // own clock less the origin's, by its quickest word; +Inf before any
 	at      float64 // when that came
+	rows    window  // of its placements
 	strikes float64
 	till    float64 // doubted until then
 }
@@ -155,6 +156,9 @@
 	relays  map[string]*origin
 	names   []string // of the others
 	tellAt  float64
+	own     map[uint64]int // connections sent to servers since the last round
+	rows    []row          // placements that are still passed on
+	seq     uint64
 	trust   bool // in tests only: all that is told is believed
 	dropped map[string]uint64
 	looks   uint64
@@ -165,7 +169,7 @@
 
 // New returns the Keeper of a relay that starts.
 func New(me string, seed uint64) *Keeper {
-	return &Keeper{me: me, rng: rand.New(rand.NewPCG(seed, 0x737562736574)), servers: map[uint64]*server{}, relays: map[string]*origin{}, dropped: map[string]uint64{}}
+	return &Keeper{me: me, rng: rand.New(rand.NewPCG(seed, 0x737562736574)), servers: map[uint64]*server{}, relays: map[string]*origin{}, own: map[uint64]int{}, dropped: map[string]uint64{}}
 }
 
 // On tells whether there is anybody to share with.
@@ -189,6 +193,14 @@
 				k.dropped[why]++
 			}
 		}
+	case Sent:
+		k.placedHere(e.Spot)
+	case HeardPlaced:
+		for _, p := range e.Rows {
+			if why := k.hearPlaced(p); why != "" {
+				k.dropped[why]++
+			}
+		}
 	case Tick:
 		if k.On() {
 			k.turns()
@@ -422,9 +434,6 @@
 			}
 		}
 	}
-	if len(news) == 0 {
-		return
-	}
 	slices.SortStableFunc(news, func(a, b *held) int { return cmp.Or(cmp.Compare(a.told, b.told), cmp.Compare(b.taken, a.taken)) })
 	news = news[:min(len(news), TellMost)]
 	batch := make([]Reading, len(news))
@@ -433,10 +442,16 @@
 		batch[i] = h.Reading
 		batch[i].Age = k.now - h.taken
 	}
+	rows := k.tellPlaced()
 	for i := range min(TellTo, len(k.names)) {
 		j := i + k.rng.IntN(len(k.names)-i)
 		k.names[i], k.names[j] = k.names[j], k.names[i]
-		k.do(Tell{To: k.names[i], Readings: batch})
+		if len(batch) > 0 {
+			k.do(Tell{To: k.names[i], Readings: batch})
+		}
+		if len(rows) > 0 {
+			k.do(TellPlaced{To: k.names[i], Rows: rows})
+		}
 	}
 }
 
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -39,6 +39,7 @@
 	Talk    bool    // relays know each other, and look at servers by turns
 	Loss    float64 // part of the packets between relays that is lost
 	Drift   float64 // by how much relays' clocks run fast or slow at most
+	Guess   bool    // relays do not tell what they send to servers: it is guessed
 	// Tune changes the module's settings, before any relay starts.
 	Tune func(*decide.Settings)
 }
--- a/internal/model/relay.go
+++ b/internal/model/relay.go
@@ -159,6 +159,7 @@
 		now := float64(f.Now) / float64(ms)
 		word := memory.Reckon(now, own, r.views.Reckoning(own))
 		word.Shared = r.looks.On()
+		word.Summed = word.Shared && !f.cfg.Guess && word.Others >= 0 && word.Others+r.meter.Rate() <= subset.MostPlaced
 		f.do(r, r.b.Handle(f.Now, word, nil))
 		if p, ok := ev.(decide.Probed); ok && p.Status == decide.OK {
 			load := p.Report.Load
@@ -202,6 +203,9 @@
 		case decide.Probe:
 			f.probe(r, f.Servers[a.Backend])
 		case decide.Send:
+			if f.cfg.Talk && !f.cfg.Guess {
+				f.look(r, subset.Sent{Spot: f.Servers[a.Backend].Spot})
+			}
 			f.send(r, a)
 		case decide.Move:
 			f.count("moves")
@@ -314,6 +318,14 @@
 				f.do(r, r.b.Handle(f.Now, decide.Told{Backend: s.Backend, Age: memory.Duration(a.Age),
 					Report: decide.Report{Load: a.Reading.Load.Load, Inflight: -1, Errors: -1, Busy: -1}}, nil))
 			}
+		case subset.Others:
+			if s := f.bySpot(a.Spot); s != nil {
+				f.do(r, r.b.Handle(f.Now, decide.Told{Backend: s.Backend, Age: memory.Duration(a.Age), Sent: a.N}, nil))
+			}
+		case subset.TellPlaced:
+			f.count("tells of placements")
+			to, rows := f.named(a.To), slices.Clone(a.Rows)
+			f.post(r, to, packetMost, func() { f.look(to, subset.HeardPlaced{From: r.Name, Rows: rows}) })
 		case subset.Doubt:
 			f.count("doubts of " + a.Name)
 		case subset.Tell:
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -74,8 +74,7 @@
 // Generation is the version of the newest list taken in, 0 before the first.
 func (c *Client) Generation() int64 { return c.generation.Load() }
 
-// Again ends the call that is out and asks at once for the whole list: a watch that stands may still have gone
-// silent. The module does not hear of it, as nothing has failed.
+// Again ends the call that is out and watches anew at once: the one that stands may still have gone silent. The module does not hear of it, as nothing has failed.
 func (c *Client) Again() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,9 +119,12 @@
 	}
 }
 
-// anew is the version of a list that cannot be compared: another service counts its own.
+// anew is the version of a list that cannot be compared.
 const anew = -1
 
+// errOther ends a watch whose first changes are of a version before the one held: this service counts its own.
+var errOther = errors.New("changes of an older version than the one held")
+
 // errSilent ends a watch that had begun and brings no line any more. What it misses counts as told 6 s after it fell
 // silent, so another is opened at once, and the module hears of it only if that one fails: its back-off, up to 7.5 s for
 // 300 relays, is for a service that answers too many.
@@ -141,9 +143,7 @@
 			}
 		}
 		call, address, newer := c.begin(ctx)
-		if moved || newer { // its list is taken whole, then watched
-			watch, version = true, anew
-		}
+		watch = watch || moved || newer
 		err := c.visit(call, address, watch, &version)
 		c.hangUp()
 		if ctx.Err() != nil {
@@ -174,9 +174,19 @@
 	}
 }
 
-// visit makes the calls that one ask stands for.
+// visit makes the calls that one ask stands for. At another address too a watch is opened after the version held, in one call:
+// all relays' discovery is one service, and one that cannot tell what changed after that version brings the whole list
+// (protocol). A whole list and then a watch were two calls, and a dear one first: when 279 relays were told of a move within
+// 4 s, 386 of their calls were answered 503, and relays went by an old list for up to 13 s.
 func (c *Client) visit(ctx context.Context, address string, watch bool, version *int64) error {
 	const path = "/v1/endpoints"
+	if watch && *version != anew {
+		err := c.call(ctx, address, fmt.Sprintf("%s?watch=1&after=%d", path, *version), version)
+		if !errors.Is(err, errOther) {
+			return err
+		}
+		*version = anew
+	}
 	if *version == anew || !watch {
 		if err := c.call(ctx, address, path, version); errors.Is(err, errSilent) { // no watch: a whole list that was cut short
 			return errors.New("the list stopped in the middle")
@@ -215,6 +225,9 @@
 			if err != nil {
 				return err
 			}
+			if !begun && !list.Full && list.Version < *version {
+				return errOther
+			}
 			*version = list.Version
 			c.generation.Store(list.Version)
 			kind := decide.Delta
