Sum what relays send to servers where they know each other, and prove more hard cases on processes

Each relay tells with its rounds of readings what it sent to which server, less what ended there (internal/fleet/subset/placed.go, a kind of gossip message of its own), up to 200 requests a second of the whole fleet; beyond that the guess by the sum of arrivals stays.

New cases on processes: a zone cut off for 6 s (a seam in link.Dial, tag faults), one relay with ten times the mean, the relays' number doubled and halved under load. Readings that other relays told are on the time lines as such.

--- a/decide/state.go
+++ b/decide/state.go
@@ -210,9 +210,14 @@
 
 // told takes in what another relay read: evidence with an age. It is no word of a server that failed this relay.
 func (b *Balancer) told(e Told) {
-	if e.Sent > 0 {
-		if s := b.server(e.Backend); b.now-e.Age+reportLag > s.readAt {
-			s.others = append(s.others, slices.Repeat([]time.Duration{b.now - e.Age}, min(e.Sent, othersKept-min(len(s.others), othersKept)))...)
+	if e.Sent != 0 {
+		s := b.server(e.Backend)
+		list, n := &s.others, e.Sent
+		if n < 0 {
+			list, n = &s.left, -n
+		}
+		if b.now-e.Age+reportLag > s.readAt {
+			*list = append(*list, slices.Repeat([]time.Duration{b.now - e.Age}, min(n, max(othersKept-len(*list), 0)))...)
 		}
 		return
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -212,7 +212,8 @@
 		Took    time.Duration
 		Report  Report
 	}
-	// Told is what another relay read at a backend so long ago, or, with Sent, how many connections it sent there then.
+	// Told is what another relay read at a backend so long ago, or, with Sent, how many connections it sent there then, less
+	// those that ended.
 	Told struct {
 		Backend Backend
 		Age     time.Duration
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -743,6 +743,7 @@
 	Share  float64 // of a fleet-wide budget, 0 to 1
 	Until  float64 // when the share lapses unless it is renewed; +Inf if it does not
 	Others float64 // requests a second that the others see; negative where it is not known
+	Own    float64 // that this relay sees
 	Held   int     // connections that the others hold; negative where it is not known
 	Sent   float64 // connections a second that others send away, as they drain or leave
 	Why    string  // the share
@@ -751,7 +752,7 @@
 // Reckoning says what to reckon with. The share is to be asked for, or held against Until, right before each use.
 func (k *Keeper) Reckoning(now float64) Reckoning {
 	now = max(now, k.now)
-	r := Reckoning{Phase: k.phase, Epoch: k.view.Epoch, Relays: max(k.cfg.Relays, 1), Others: -1, Held: -1}
+	r := Reckoning{Phase: k.phase, Epoch: k.view.Epoch, Relays: max(k.cfg.Relays, 1), Others: -1, Own: k.own.Rate, Held: -1}
 	r.Share, r.Until, r.Why = k.share(now)
 	if k.view.Epoch == 0 {
 		return r
--- a/internal/fleet/member/meter.go
+++ b/internal/fleet/member/meter.go
@@ -36,6 +36,3 @@
 	m.arrivals, m.held, m.at, m.sent = arrivals, held, now, sent
 	return Own{Doing: doing, Rate: math.Round(m.rate*100) / 100, Held: held, Sent: math.Round(sent*10) / 10}
 }
-
-// Rate is how many requests a second have come of late.
-func (m *Meter) Rate() float64 { return m.rate }
--- a/internal/fleet/subset/placed.go
+++ b/internal/fleet/subset/placed.go
@@ -2,8 +2,9 @@
 
 import "math"
 
-// Placements are summed and not guessed: each relay tells what it has sent to which server since its last round, all others
-// hear it as they hear readings, and each adds what is younger than its reading of that server. Only so many a second fit
+// Placements are summed and not guessed: each relay tells what it has sent to which server since its last round, less what has
+// ended there, all others hear it as they hear readings, and each adds what is younger than its reading of that server. Without
+// the ends, connections of 2 s made servers that stood at half of their load look full. Only so many a second fit
 // the rounds; a fleet to which more come goes on guessing by the sum of arrivals, whose spread is small there.
 const (
 	// MostPlaced is up to how many requests a second of the whole fleet placements are told. A relay then sends some 9 times
@@ -11,9 +12,10 @@
 	MostPlaced = 200.0
 	// PlacedMost is how many rows a round carries.
 	PlacedMost = 48
+	mostInRow  = 1000
 )
 
-// Placed is what one relay has sent to one server in one round.
+// Placed is what one relay has sent to one server in one round, less what has ended there.
 type Placed struct {
 	Spot uint64
 	By   string
@@ -24,8 +26,11 @@
 }
 
 type (
-	// Sent says that this relay has sent one connection to a server.
-	Sent struct{ Spot uint64 }
+	// Sent says that this relay has sent so many connections to a server; negative, that so many have ended there.
+	Sent struct {
+		Spot uint64
+		N    int
+	}
 	// HeardPlaced is what a peer has passed on.
 	HeardPlaced struct {
 		From string
@@ -52,35 +57,10 @@
 	told  int
 }
 
-// window tells which rows of an origin have come: the newest, and the 64 before it.
-type window struct {
-	life, top, seen uint64
-}
-
-// take tells whether a row is new.
-func (w *window) take(life, seq uint64) bool {
-	switch {
-	case life < w.life:
-		return false
-	case life > w.life:
-		*w = window{life: life}
-	}
-	switch {
-	case seq > w.top:
-		w.seen = w.seen<<min(seq-w.top, 64) | 1
-		w.top = seq
-	case w.top-seq >= 64 || w.seen>>(w.top-seq)&1 == 1:
-		return false
-	default:
-		w.seen |= 1 << (w.top - seq)
-	}
-	return true
-}
-
 // placedHere gathers this relay's own until its next round.
-func (k *Keeper) placedHere(spot uint64) {
-	if k.On() && k.servers[spot] != nil {
-		k.own[spot]++
+func (k *Keeper) placedHere(e Sent) {
+	if k.On() && k.servers[e.Spot] != nil {
+		k.own[e.Spot] += e.N
 	}
 }
 
@@ -92,13 +72,13 @@
 		return ""
 	case o == nil || k.servers[p.Spot] == nil:
 		return Unknown
-	case p.N < 1 || p.N > 1000 || p.Age < 0 || math.IsNaN(p.Age):
+	case p.N == 0 || p.N > mostInRow || p.N < -mostInRow || p.Age < 0 || math.IsNaN(p.Age):
 		return Impossible
 	case p.Age > UsableFor:
 		return TooOld
 	case k.now < o.till:
 		return Doubted
-	case !o.rows.take(p.Life, p.Seq):
+	case !o.rows.Take(p.Life, p.Seq):
 		return ""
 	}
 	k.rows = append(k.rows, row{p, k.now - p.Age, 0})
@@ -109,7 +89,7 @@
 // tellPlaced returns what a round passes on: this relay's own first, then what has been passed on least.
 func (k *Keeper) tellPlaced() []Placed {
 	for _, s := range k.list {
-		if n := k.own[s.Spot]; n > 0 {
+		if n := min(max(k.own[s.Spot], -mostInRow), mostInRow); n != 0 {
 			k.seq++
 			k.rows = append(k.rows, row{Placed{Spot: s.Spot, By: k.me, Life: k.life, Seq: k.seq, N: n}, k.now, 0})
 		}
--- /dev/null
+++ b/internal/fleet/subset/placed_test.go
@@ -0,0 +1,100 @@
+package subset
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// A Window takes each number once, in any order, up to 64 behind.
+func TestWindow(t *testing.T) {
+	for seed := range uint64(50) {
+		rng, w, seen := rand.New(rand.NewPCG(seed, 1)), Window{}, map[uint64]bool{}
+		for high := uint64(100); high < 400; high++ {
+			n := high - rng.Uint64N(63)
+			if got := w.Take(1, n); got == seen[n] {
+				t.Fatalf("seed %d: %d taken: %v, seen before: %v", seed, n, got, seen[n])
+			}
+			seen[n] = true
+		}
+		if w.Take(1, 1) || !w.Take(2, 1) || w.Take(1, 1000) {
+			t.Error("a number far behind, or of an earlier life, was taken, or one of a new life was not")
+		}
+	}
+}
+
+// What each relay sends to a server comes to every other once, though packets are lost and come by many ways; what makes no
+// sense is left out for its reason.
+func TestPlacementsAreSummed(t *testing.T) {
+	rs, ss := fleet(9, 12, 3)
+	rng := rand.New(rand.NewPCG(3, 3))
+	table := Assign(rs, ss)
+	keepers, sent, got := make([]*Keeper, len(rs)), make([]int, len(ss)), make([][]int, len(rs))
+	index := map[uint64]int{}
+	for i, s := range ss {
+		index[s.Spot] = i
+	}
+	at, told := map[string]int{}, 0
+	for i, r := range rs {
+		keepers[i], got[i], at[r.Name] = New(r.Name, uint64(i)), make([]int, len(ss)), i
+		keepers[i].Handle(0, Fleet{Relays: rs, Life: 1, Servers: ss, Table: table}, nil)
+	}
+	var act func(i int, now float64, acts []Action)
+	act = func(i int, now float64, acts []Action) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Others:
+				got[i][index[a.Spot]] += a.N
+				if a.Age > 1000 {
+					t.Errorf("word of a placement is %.0f ms old", a.Age)
+				}
+			case TellPlaced:
+				if to := at[a.To]; rng.Float64() > 0.1 {
+					act(to, now, keepers[to].Handle(now+5, HeardPlaced{From: rs[i].Name, Rows: a.Rows}, nil))
+				}
+			}
+		}
+	}
+	for now := 1000.0; now < 9000; now += 25 {
+		for i, k := range keepers {
+			if now < 7000 && rng.Float64() < 0.3 { // 100 a second of all
+				s, n := rng.IntN(len(ss)), 1
+				if rng.Float64() < 0.4 { // as many ends, nearly
+					n = -1
+				}
+				sent[s] += n
+				got[i][s] += n
+				told++
+				k.Handle(now, Sent{Spot: ss[s].Spot, N: n}, nil)
+			}
+			act(i, now, k.Handle(now, Tick{}, nil))
+		}
+	}
+	missed, all := 0, told*len(rs)
+	for i := range rs {
+		for s, n := range got[i] {
+			missed += max(sent[s]-n, n-sent[s])
+		}
+	}
+	if missed*200 > all {
+		t.Errorf("%d of %d were not heard of", missed, all)
+	}
+	good := Placed{Spot: ss[0].Spot, By: "r1", Life: 1, Seq: 9000, N: 1}
+	for _, c := range []struct {
+		why    string
+		change func(p *Placed)
+	}{
+		{Unknown, func(p *Placed) { p.By = "stranger" }},
+		{Unknown, func(p *Placed) { p.Spot++ }},
+		{Impossible, func(p *Placed) { p.N = 0 }},
+		{Impossible, func(p *Placed) { p.N = 1 << 40 }},
+		{Impossible, func(p *Placed) { p.Age = math.NaN() }},
+		{TooOld, func(p *Placed) { p.Age = UsableFor + 1 }},
+	} {
+		p, k := good, keepers[0]
+		c.change(&p)
+		if before := k.dropped[c.why]; len(k.Handle(9000, HeardPlaced{From: "r2", Rows: []Placed{p}}, nil)) > 0 || k.dropped[c.why] != before+1 {
+			t.Errorf("%s: %v", c.why, k.dropped)
+		}
+	}
+}
--- a/internal/fleet/subset/readings.go
+++ b/internal/fleet/subset/readings.go
@@ -141,7 +141,7 @@
 	life    uint64
 	offset  float64 // own clock less the origin's, by its quickest word; +Inf before any
 	at      float64 // when that came
-	rows    window  // of its placements
+	rows    Window  // of its placements
 	strikes float64
 	till    float64 // doubted until then
 }
@@ -156,7 +156,7 @@
 	relays  map[string]*origin
 	names   []string // of the others
 	tellAt  float64
-	own     map[uint64]int // connections sent to servers since the last round
+	own     map[uint64]int // connections sent to servers since the last round, less those that ended
 	rows    []row          // placements that are still passed on
 	seq     uint64
 	trust   bool // in tests only: all that is told is believed
@@ -194,7 +194,7 @@
 			}
 		}
 	case Sent:
-		k.placedHere(e.Spot)
+		k.placedHere(e)
 	case HeardPlaced:
 		for _, p := range e.Rows {
 			if why := k.hearPlaced(p); why != "" {
--- /dev/null
+++ b/internal/fleet/subset/window.go
@@ -0,0 +1,25 @@
+package subset
+
+// Window remembers which numbers of a sender have come: all up to 64 below the highest. The zero Window is ready.
+type Window struct {
+	life, high, seen uint64
+}
+
+// Take tells whether a number of a sender's life is new, and notes it.
+func (w *Window) Take(life, seq uint64) bool {
+	switch {
+	case life < w.life:
+		return false
+	case life > w.life:
+		*w = Window{life: life}
+	}
+	switch {
+	case seq > w.high:
+		w.seen, w.high = w.seen<<min(seq-w.high, 64)|1, seq
+		return true
+	case w.high-seq >= 64 || w.seen>>(w.high-seq)&1 == 1:
+		return false
+	}
+	w.seen |= 1 << (w.high - seq)
+	return true
+}
--- a/internal/lifecycle/members.go
+++ b/internal/lifecycle/members.go
@@ -164,7 +164,7 @@
 		}
 		conf.Notice = s.notice
 		if m.Looks {
-			conf.Heard = func(from string, readings []subset.Reading) { shared.Hear(from, readings) }
+			conf.Heard = func(ev subset.Event) { shared.Hear(ev) }
 		}
 		if node, err = gossip.New(conf); err == nil {
 			s.fleet = node
--- a/internal/memory/core.go
+++ b/internal/memory/core.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
+	"capersail/internal/fleet/subset"
 	"capersail/internal/observe/tap"
 )
 
@@ -124,6 +125,7 @@
 	if c.Fleet != nil {
 		f := c.Fleet.Hold(now)
 		f.Shared = c.Shared != nil && c.Shared.keeper.On()
+		f.Summed = f.Summed && f.Shared
 		c.handle(now, f)
 		defer c.Fleet.Release()
 	}
@@ -180,6 +182,9 @@
 		if c.x.Tap != nil {
 			c.pool = c.balance.Pool(c.pool[:0])
 		}
+		if c.Shared != nil {
+			c.share(c.x.Clock.Now(), subset.Sent{Spot: c.spot(a.Backend), N: 1})
+		}
 		c.x.send(a.ID, a.Backend, Millis(a.Timeout), c.pool)
 	case decide.Refuse:
 		c.x.finish(a.ID, Answer{Kind: Refused, RetryAfter: Millis(a.RetryAfter), why: a.Why, by: tap.Module})
--- a/internal/memory/reckon.go
+++ b/internal/memory/reckon.go
@@ -5,11 +5,13 @@
 
 	"capersail/decide"
 	"capersail/internal/fleet/member"
+	"capersail/internal/fleet/subset"
 )
 
-// Reckon is what the module is to reckon with: now is the module's time, own the Keeper's.
+// Reckon is what the module is to reckon with: now is the module's time, own the Keeper's. Summed says whether so little comes
+// to the fleet that relays tell each other what they send; it holds where they share readings only.
 func Reckon(now, own float64, r member.Reckoning) decide.Fleet {
-	f := decide.Fleet{Relays: r.Relays, Share: r.Share, Others: r.Others, Held: r.Held, Sent: r.Sent}
+	f := decide.Fleet{Relays: r.Relays, Share: r.Share, Others: r.Others, Held: r.Held, Sent: r.Sent, Summed: r.Others >= 0 && r.Others+r.Own <= subset.MostPlaced}
 	if !math.IsInf(r.Until, 1) {
 		f.Until = Duration(now + r.Until - own)
 	}
--- a/internal/memory/shared.go
+++ b/internal/memory/shared.go
@@ -14,6 +14,8 @@
 	Party() (relays []subset.Relay, life uint64)
 	// Spread passes readings on to one of them.
 	Spread(to string, readings []subset.Reading)
+	// SpreadPlaced passes on what relays have sent to servers.
+	SpreadPlaced(to string, rows []subset.Placed)
 }
 
 const (
@@ -50,7 +52,7 @@
 type (
 	heard struct {
 		decide.Peer
-		subset.Heard
+		ev subset.Event
 	}
 	party struct {
 		decide.Peer
@@ -59,15 +61,15 @@
 	}
 )
 
-// Hear takes a peer's readings.
-func (s *Shared) Hear(from string, readings []subset.Reading) {
+// Hear takes what a peer has passed on: a subset.Heard or HeardPlaced.
+func (s *Shared) Hear(ev subset.Event) {
 	if s.waiting.Add(1) > heardRoom {
 		s.waiting.Add(-1)
 		return
 	}
 	s.x.mu.Lock()
 	defer s.x.mu.Unlock()
-	s.x.post(heard{Heard: subset.Heard{From: from, Readings: readings}})
+	s.x.post(heard{ev: ev})
 }
 
 // Report is what was known within the last second; false before anything was.
@@ -145,12 +147,14 @@
 	switch e := ev.(type) {
 	case heard:
 		c.Shared.waiting.Add(-1)
-		c.share(now, e.Heard)
+		c.share(now, e.ev)
 		return false
 	case party:
 		c.Shared.making, c.Shared.ids = false, e.ids
 		c.share(now, e.Fleet)
 		return false
+	case decide.Outcome:
+		c.share(now, subset.Sent{Spot: c.spot(e.Backend), N: -1})
 	case decide.Probed:
 		if e.Status == decide.OK {
 			c.share(now, subset.Read{Spot: c.spot(e.Backend), Load: subset.Load{Load: e.Report.Load, Inflight: e.Report.Inflight, Errors: e.Report.Errors, Busy: e.Report.Busy}})
@@ -178,9 +182,16 @@
 		case subset.Believe:
 			if id, ok := c.x.number(s.ids[a.Spot]); ok {
 				l := a.Reading.Load
+				if c.x.Tap != nil {
+					c.x.tapTold(id, a.Age, max(l.Load, l.Busy))
+				}
 				c.handle(now, decide.Told{Backend: id, Age: Duration(a.Age),
 					Report: decide.Report{Load: l.Load, Inflight: l.Inflight, Errors: l.Errors, Busy: l.Busy}})
 			}
+		case subset.Others:
+			if id, ok := c.x.number(s.ids[a.Spot]); ok {
+				c.handle(now, decide.Told{Backend: id, Age: Duration(a.Age), Sent: a.N})
+			}
 		case subset.Doubt:
 			s.doubt(a.Name)
 		default:
@@ -222,8 +233,11 @@
 // spread passes on what the keeper wants passed on.
 func (s *Shared) spread() {
 	for _, a := range s.out {
-		if t, ok := a.(subset.Tell); ok {
+		switch t := a.(type) {
+		case subset.Tell:
 			s.peers.Spread(t.To, t.Readings)
+		case subset.TellPlaced:
+			s.peers.SpreadPlaced(t.To, t.Rows)
 		}
 	}
 	s.out = s.out[:0]
--- a/internal/memory/taps.go
+++ b/internal/memory/taps.go
@@ -80,6 +80,11 @@
 		Queue: float32(report.Inflight), Errors: float32(report.Errors)})
 }
 
+// tapTold tells that a reading of another relay is gone by.
+func (x *Exchange) tapTold(s decide.Backend, ageMs float64, load float64) {
+	x.Tap.Put(&tap.Record{At: x.Clock.Now() - ageMs, Kind: tap.Told, Server: int32(s), Took: ageMs, Load: float32(load)})
+}
+
 // TurnedAway tells that the door refused a client of the class for want of descriptors.
 func (x *Exchange) TurnedAway(class decide.Class) {
 	x.mu.Lock()
--- a/internal/model/relay.go
+++ b/internal/model/relay.go
@@ -120,7 +120,7 @@
 			f.comeAgain(c, f.Between(170*ms, 1400*ms))
 		}
 	}
-	f.heard()
+	f.heard(r)
 }
 
 // Drain says that a relay drains by hand, or does no longer.
@@ -129,7 +129,7 @@
 // Split cuts the relays into parts that do not hear each other; nil ends it. Clients and servers stay in reach.
 func (f *Fleet) Split(parts []int) {
 	f.net.parts = parts
-	f.heard()
+	f.heard(nil)
 }
 
 // CutZone keeps all relays of other zones from a zone's servers and its relays from all others' servers, and the relays apart;
@@ -159,8 +159,11 @@
 		now := float64(f.Now) / float64(ms)
 		word := memory.Reckon(now, own, r.views.Reckoning(own))
 		word.Shared = r.looks.On()
-		word.Summed = word.Shared && !f.cfg.Guess && word.Others >= 0 && word.Others+r.meter.Rate() <= subset.MostPlaced
+		word.Summed = word.Summed && word.Shared && !f.cfg.Guess
 		f.do(r, r.b.Handle(f.Now, word, nil))
+		if o, ok := ev.(decide.Outcome); ok && !f.cfg.Guess {
+			f.look(r, subset.Sent{Spot: f.Servers[o.Backend].Spot, N: -1})
+		}
 		if p, ok := ev.(decide.Probed); ok && p.Status == decide.OK {
 			load := p.Report.Load
 			if r.Lies != nil {
@@ -204,7 +207,7 @@
 			f.probe(r, f.Servers[a.Backend])
 		case decide.Send:
 			if f.cfg.Talk && !f.cfg.Guess {
-				f.look(r, subset.Sent{Spot: f.Servers[a.Backend].Spot})
+				f.look(r, subset.Sent{Spot: f.Servers[a.Backend].Spot, N: 1})
 			}
 			f.send(r, a)
 		case decide.Move:
@@ -268,7 +271,7 @@
 	}
 	f.After(f.net.delay(20), tick)
 	f.After(f.net.delay(25), turn)
-	f.heard()
+	f.heard(r)
 }
 
 // party gives looks the members of the view and the servers of the list, when either has changed. As many relays have the
@@ -392,36 +395,47 @@
 	}
 }
 
-// heard lets the failure detectors of all relays find out who is in reach now: the one fault or start that has just been
-// is noticed a while later by each, unless it is over by then.
-func (f *Fleet) heard() {
+// heard lets the failure detectors find out who is in reach now, of all relays or of one that has just started or ended: each
+// notices a while later, unless it is over by then.
+func (f *Fleet) heard(of *Relay) {
 	if !f.cfg.Talk {
 		return
 	}
 	for _, r := range f.Relays {
-		for _, o := range f.Relays {
-			if r == o || !r.up {
-				continue
-			}
-			want, after := member.Alive, f.net.delay(joinMost)
-			if !o.up || f.net.cut(r, o) {
-				want, after = member.Failed, memory.Duration(failLeast+f.net.rng.Float64()*(failMost-failLeast))
+		switch {
+		case of == nil:
+			for _, o := range f.Relays {
+				f.notice(r, o)
 			}
-			if r.words[o] == want || want == member.Failed && r.words[o] == member.Unheard {
-				continue
-			}
-			life, lives := r.life, o.life
-			f.After(after, func() {
-				there := o.up && !f.net.cut(r, o)
-				if r.up && r.life == life && o.life == lives && there == (want == member.Alive) && r.words[o] != want {
-					r.words[o] = want
-					f.hand(r, member.Heard{Name: o.Name, Word: want})
-				}
-			})
+		case r != of:
+			f.notice(r, of)
+			f.notice(of, r)
 		}
 	}
 }
 
+// notice lets one relay find out whether another is in reach.
+func (f *Fleet) notice(r, o *Relay) {
+	if r == o || !r.up {
+		return
+	}
+	want, after := member.Alive, f.net.delay(joinMost)
+	if !o.up || f.net.cut(r, o) {
+		want, after = member.Failed, memory.Duration(failLeast+f.net.rng.Float64()*(failMost-failLeast))
+	}
+	if r.words[o] == want || want == member.Failed && r.words[o] == member.Unheard {
+		return
+	}
+	life, lives := r.life, o.life
+	f.After(after, func() {
+		there := o.up && !f.net.cut(r, o)
+		if r.up && r.life == life && o.life == lives && there == (want == member.Alive) && r.words[o] != want {
+			r.words[o] = want
+			f.hand(r, member.Heard{Name: o.Name, Word: want})
+		}
+	})
+}
+
 // shares notes the sum of what all relays may take of a budget.
 func (f *Fleet) shares() {
 	sum := 0.0
--- a/internal/observe/report/report.go
+++ b/internal/observe/report/report.go
@@ -194,8 +194,8 @@
 			}
 			t := total(s.Steps)
 			fmt.Fprintf(w, "  load %s|%s|%s  (. idle, @ full)\n", Clock(from), row, Clock(to))
-			fmt.Fprintf(w, "  placed %d, retries %d, up %d, moved %d, refused %d, probes %d (%d lost); set-up 99 %% %.1f ms at worst\n", t.Places,
-				t.Retries, t.Ups, t.Moves, t.Refusals, t.Probes, t.Lost, t.Setup[1])
+			fmt.Fprintf(w, "  placed %d, retries %d, up %d, moved %d, refused %d, probes %d (%d lost), told by others %d; set-up 99 %% %.1f ms at worst\n", t.Places,
+				t.Retries, t.Ups, t.Moves, t.Refusals, t.Probes, t.Lost, t.Told, t.Setup[1])
 			if f := Faults(t); f > 0 {
 				fmt.Fprintf(w, "  faults:")
 				for status, n := range t.Ends {
@@ -252,14 +252,14 @@
 func (r *Report) CSV(w io.Writer) error {
 	out := csv.NewWriter(w)
 	out.Write([]string{"server", "from_ms", "width_ms", "held", "places", "retries", "ups", "moves", "refusals", "faults", "probes", "probes_lost",
-		"load_least", "load_mean", "load_most", "setup_p50_ms", "setup_p99_ms", "message_ms"})
+		"load_least", "load_mean", "load_most", "setup_p50_ms", "setup_p99_ms", "message_ms", "told"})
 	f := func(x float32) string { return strconv.FormatFloat(float64(x), 'g', 5, 32) }
 	u := func(x uint32) string { return strconv.FormatUint(uint64(x), 10) }
 	for _, s := range r.Servers {
 		for _, x := range s.Steps {
 			out.Write([]string{s.Name, strconv.FormatFloat(x.From, 'f', 0, 64), strconv.FormatFloat(x.Width, 'f', 0, 64),
 				strconv.Itoa(int(x.Held)), u(x.Places), u(x.Retries), u(x.Ups), u(x.Moves), u(x.Refusals), u(Faults(x)), u(x.Probes), u(x.Lost),
-				f(x.Load[0]), f(x.Load[1]), f(x.Load[2]), f(x.Setup[0]), f(x.Setup[1]), f(x.Slow)})
+				f(x.Load[0]), f(x.Load[1]), f(x.Load[2]), f(x.Setup[0]), f(x.Setup[1]), f(x.Slow), u(x.Told)})
 		}
 	}
 	out.Flush()
--- a/internal/observe/tap/tap.go
+++ b/internal/observe/tap/tap.go
@@ -23,11 +23,12 @@
 	Refuse                  // a request is refused
 	Fail                    // a request fails
 	Delay                   // a message took long
+	Told                    // a reading of another relay is gone by: Took is its age
 	Dropped                 // records were dropped here
 )
 
 func (k Kind) String() string {
-	return [...]string{"", "list", "no list", "probe", "place", "up", "end", "move", "refuse", "fail", "delay", "dropped"}[min(k, Dropped)]
+	return [...]string{"", "list", "no list", "probe", "place", "up", "end", "move", "refuse", "fail", "delay", "told", "dropped"}[min(k, Dropped)]
 }
 
 // By says who ended a connection or caused a move.
--- a/internal/observe/timeline/timeline.go
+++ b/internal/observe/timeline/timeline.go
@@ -60,6 +60,7 @@
 	Slow     float32    `cbor:"15,keyasint,omitempty" json:"message_ms"`
 	Dropped  uint32     `cbor:"16,keyasint,omitempty" json:"dropped"` // records that were not folded, on the fleet's line
 	Merged   bool       `cbor:"17,keyasint,omitempty" json:"merged"`  // quantiles are the worst of what was merged
+	Told     uint32     `cbor:"18,keyasint,omitempty" json:"told"`    // readings of other relays that were gone by
 }
 
 // Limits bound what is kept in memory.
@@ -267,6 +268,7 @@
 func Merge(a, b Step) Step {
 	a.Places, a.Retries, a.Ups, a.Moves = a.Places+b.Places, a.Retries+b.Retries, a.Ups+b.Ups, a.Moves+b.Moves
 	a.Refusals, a.Probes, a.Lost, a.Dropped = a.Refusals+b.Refusals, a.Probes+b.Probes, a.Lost+b.Lost, a.Dropped+b.Dropped
+	a.Told += b.Told
 	for i := range a.Ends {
 		a.Ends[i] += b.Ends[i]
 	}
@@ -325,6 +327,10 @@
 			reading(s, r.Load)
 		}
 		b.probe(l, s, r)
+	case tap.Told: // evidence of the load; that it answers is for this relay's own eyes
+		if s.Told++; r.Load >= 0 {
+			reading(s, r.Load)
+		}
 	case tap.Place:
 		s.Places++
 		if r.Attempt > 0 {
--- a/internal/observe/timeline/timeline_test.go
+++ b/internal/observe/timeline/timeline_test.go
@@ -134,7 +134,7 @@
 	b := New(Default())
 	for i, r := range []tap.Record{
 		{Kind: tap.List, Mode: decide.Ready},
-		{Kind: tap.Probe, Load: 0.2}, {Kind: tap.Probe, Load: 0.6}, {Kind: tap.Probe, Load: -1}, {Kind: tap.Probe, Status: decide.TimedOut},
+		{Kind: tap.Probe, Load: 0.2}, {Kind: tap.Told, Load: 0.6}, {Kind: tap.Probe, Load: -1}, {Kind: tap.Probe, Status: decide.TimedOut},
 		{Kind: tap.Place}, {Kind: tap.Up, Took: 5}, {Kind: tap.Place, Attempt: 1}, {Kind: tap.Up, Took: 100},
 		{Kind: tap.End, By: tap.Client, Status: decide.Cancelled}, {Kind: tap.End, By: tap.Server, Status: decide.Reset},
 		{Kind: tap.Refuse, Why: decide.NoRoom}, {Kind: tap.Delay, Took: 70}, {Kind: tap.Move},
@@ -145,7 +145,7 @@
 	l := b.Line("s")
 	b.seal(l)
 	s := l.Steps()[0]
-	if s.Load != [3]float32{0.2, 0.4, 0.6} || s.Places != 2 || s.Retries != 1 || s.Probes != 4 || s.Lost != 1 || s.Held != 0 ||
+	if s.Load != [3]float32{0.2, 0.4, 0.6} || s.Places != 2 || s.Retries != 1 || s.Probes != 3 || s.Told != 1 || s.Lost != 1 || s.Held != 0 ||
 		s.Ends[decide.Reset] != 1 || s.Ends[decide.Cancelled] != 0 || s.Slow != 70 || s.Moves != 1 || s.Refusals != 1 ||
 		s.Setup[0] < 4.9 || s.Setup[0] > 5.1 || s.Setup[2] < 99 || s.Setup[2] > 101 {
 		t.Errorf("%+v", s)
--- a/internal/proving/load.go
+++ b/internal/proving/load.go
@@ -88,7 +88,7 @@
 	return n
 }
 
-// Load brings so many connections a second, spread evenly over the relays that run, until the context ends; each that
+// Load brings so many connections a second, spread over the relays by their weights, until the context ends; each that
 // comes up is held for a while. It sends to loopback only, where all relays of a ground are.
 func (g *Ground) Load(ctx context.Context, seed uint64, rate float64, hold time.Duration, tally *Tally) {
 	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
@@ -102,9 +102,24 @@
 			return
 		case <-time.After(time.Until(next)):
 		}
-		to := g.Relays[rng.IntN(len(g.Relays))].Listen
+		sum := int64(0)
+		for _, r := range g.Relays {
+			sum += r.weight.Load()
+		}
+		if sum == 0 {
+			continue
+		}
+		at, to := rng.Int64N(sum), ""
+		for _, r := range g.Relays {
+			if at -= r.weight.Load(); at < 0 {
+				to = r.Listen
+				break
+			}
+		}
 		key := rng.Uint64()
-		all.Go(func() { once(ctx, to, n, key, hold, tally) })
+		if to != "" { // a weight has just been changed
+			all.Go(func() { once(ctx, to, n, key, hold, tally) })
+		}
 	}
 }
 
--- a/internal/proving/many_test.go
+++ b/internal/proving/many_test.go
@@ -22,8 +22,11 @@
 
 const manyAdds = 0.025
 
+// relays is how many there are of each; newMany lays twice as many out, and starts the first half.
+const relays = 9
+
 func newMany(t *testing.T, p Plan, rules func(*fault.Rules)) *many {
-	p.Relays = 9
+	p.Relays, p.Founders = 2*relays, relays
 	p.Settings = map[string]any{"specifics": map[string]any{"groups": false, "messageAimMs": []int{50}, "reportX0": "load asked of the server over what it can do",
 		"tenantQuotaConnections": []int{384}}}
 	m := &many{t: t, g: lay(t, p, 0)}
@@ -37,17 +40,20 @@
 		m.sinks = append(m.sinks, s)
 		m.g.Discovery.Set(s.ID, s.Address, "Ready")
 	}
-	for i := range m.g.Relays {
+	for i, r := range m.g.Relays {
 		if rules != nil {
 			m.g.Rule(i, rules)
 		}
-		if err := m.g.Start(i); err != nil {
-			t.Fatal(err)
+		if r.Weigh(0); i < relays {
+			r.Weigh(1)
+			if err := m.g.Start(i); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
 	await(t, patience()+10*time.Second, "at first", m.g.settled)
 	if !p.OwnLooks {
-		for i := range m.g.Relays {
+		for i := range relays {
 			await(t, patience(), "readings are shared", func() error { return m.shows(i, "for 9 relays", "nobody that counts") })
 		}
 	}
@@ -102,6 +108,14 @@
 	return most, probes
 }
 
+// parts cuts the first so many relays off from the others.
+func parts(first int) (all []int) {
+	for i := range 2 * relays {
+		all = append(all, map[bool]int{true: 1}[i >= first])
+	}
+	return all
+}
+
 // Nine relays in a calm, and through faults: in the calm no server gets over 1.25 of its fair part, and it is probed at most
 // twice a second however many relays there are; after each fault nearly so again; and no server stands idle for 2 s while
 // clients are refused. A relay that lies about its readings moves nobody; where all that is told is believed, it does.
@@ -109,7 +123,43 @@
 	pause := func(m *many, ms int) { m.pass(ms) }
 	troubles := map[string]func(m *many){
 		"calm":   func(m *many) {},
-		"halves": func(m *many) { m.g.Split([]int{0, 0, 0, 0, 0, 1, 1, 1, 1}); m.g.Apply(); pause(m, 5000) },
+		"halves": func(m *many) { m.g.Split(parts(5)); m.g.Apply(); pause(m, 5000) },
+		"a zone cut off for 6 s": func(m *many) { // its relays and a third of the servers
+			m.g.Split(parts(3))
+			var inside, outside []string
+			for i, s := range m.sinks {
+				if i < 4 {
+					inside = append(inside, s.Address)
+				} else {
+					outside = append(outside, s.Address)
+				}
+			}
+			for i := range relays {
+				m.g.Blind(i, inside...)
+				if i < 3 {
+					m.g.Blind(i, outside...)
+				}
+			}
+			m.g.Apply()
+			pause(m, 6000)
+		},
+		"one relay with ten times the mean": func(m *many) { m.g.Relays[1].Weigh(10); pause(m, 5000) },
+		"the relays' number doubled, then halved": func(m *many) {
+			for i := relays; i < 2*relays; i++ {
+				m.g.Start(i)
+			}
+			await(m.t, patience()+10*time.Second, "twice as many", m.g.settled)
+			for _, r := range m.g.Relays[relays:] {
+				r.Weigh(1)
+			}
+			pause(m, 3000)
+			for _, r := range m.g.Relays[relays:] {
+				r.Weigh(0)
+			}
+			for i := relays; i < 2*relays; i++ {
+				m.g.Term(i)
+			}
+		},
 		"half killed, back at once": func(m *many) {
 			for i := range 5 {
 				m.g.Kill(i)
@@ -120,10 +170,10 @@
 			pause(m, 1000)
 		},
 		"all restarted": func(m *many) {
-			for i := range m.g.Relays {
+			for i := range relays {
 				m.g.Kill(i)
 			}
-			for i := range m.g.Relays {
+			for i := range relays {
 				m.g.Start(i)
 			}
 		},
--- a/internal/proving/proving.go
+++ b/internal/proving/proving.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,6 +73,7 @@
 	mu     sync.Mutex
 	events []fault.Noted
 	cut    map[[2]int]bool
+	blind  map[int][]string // by relay: addresses of servers that it cannot reach
 }
 
 // Relay is one process, or the place of one.
@@ -84,9 +86,12 @@
 	ended                 chan struct{}
 	up, stopped           bool
 	rules                 fault.Rules
-	env                   []string
+	weight                atomic.Int64 // of what a Load brings
 }
 
+// Weigh sets how much of what a Load brings comes to the relay, 1 for an even part.
+func (r *Relay) Weigh(weight int64) { r.weight.Store(weight) }
+
 // Up tells whether the process runs; a stopped one does.
 func (r *Relay) Up() bool { return r.up }
 
@@ -148,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Ground{Plan: p, Discovery: d, cut: map[[2]int]bool{}, at: at}
+	g := &Ground{Plan: p, Discovery: d, cut: map[[2]int]bool{}, blind: map[int][]string{}, at: at}
 	for i := range p.Relays {
 		r := &Relay{Name: fmt.Sprintf("r%d", i), dir: filepath.Join(p.Dir, fmt.Sprintf("r%d", i)), rules: fault.Rules{Seed: uint64(i)}}
 		if err := os.MkdirAll(r.dir, 0o700); err != nil {
@@ -157,6 +162,7 @@
 		host := fmt.Sprintf("%s%d:", at.net, i+1)
 		r.Gossip, r.Listen, r.Admin = host+strconv.Itoa(at.gossip), host+strconv.Itoa(at.listen), host+strconv.Itoa(at.admin)
 		r.Socket = filepath.Join(r.dir, "s")
+		r.Weigh(1)
 		g.Relays = append(g.Relays, r)
 	}
 	for i := range g.Relays {
@@ -332,11 +338,14 @@
 	}
 }
 
+// Blind keeps a relay from reaching servers, by their addresses; what stands falls silent and is reset at the heal.
+func (g *Ground) Blind(i int, servers ...string) { g.blind[i] = servers }
+
 // Apply hands the cuts to all processes.
 func (g *Ground) Apply() error {
 	var all []error
 	for i, r := range g.Relays {
-		r.rules.Cut, r.rules.CutFrom = nil, nil
+		r.rules.Cut, r.rules.CutFrom = slices.Clone(g.blind[i]), nil
 		for j, o := range g.Relays {
 			if g.cut[[2]int{i, j}] {
 				r.rules.Cut = append(r.rules.Cut, o.Gossip)
@@ -353,6 +362,7 @@
 // Heal ends all faults: cuts, loss, stops; whoever is down stays down.
 func (g *Ground) Heal() error {
 	clear(g.cut)
+	clear(g.blind)
 	for i, r := range g.Relays {
 		r.rules = fault.Rules{Seed: r.rules.Seed, Rate: r.rules.Rate, StepMs: r.rules.StepMs}
 		g.Cont(i)
@@ -420,6 +430,7 @@
 			names = append(names, r.Name)
 		}
 	}
+	slices.Sort(names) // as views have them
 	var ref fault.Noted
 	for _, name := range names {
 		n, ok := last[name]
--- a/internal/wire/gossip/envelope.go
+++ b/internal/wire/gossip/envelope.go
@@ -17,6 +17,7 @@
 	kindDigest  kind = 1
 	kindMessage kind = 2
 	kindWord    kind = 3 // readings of servers; an older version counts it as unknown
+	kindPlaced  kind = 4 // what relays have sent to servers; the same
 )
 
 // envelope is what goes over the wire. A digest's Seq is the digest's own, so that whoever passes it on changes
@@ -80,36 +81,3 @@
 	}
 	return v.Check() == nil
 }
-
-// window remembers which numbers of a sender have come: all up to 64 below the highest.
-type window struct {
-	incarnation, high, seen uint64
-}
-
-// take tells whether a number is new, and notes it.
-func (w *window) take(incarnation, seq uint64) bool {
-	switch {
-	case incarnation < w.incarnation:
-		return false
-	case incarnation > w.incarnation:
-		*w = window{incarnation: incarnation}
-	}
-	switch {
-	case seq > w.high:
-		if by := seq - w.high; by < 64 {
-			w.seen = w.seen<<by | 1
-		} else {
-			w.seen = 1
-		}
-		w.high = seq
-		return true
-	case w.high-seq >= 64:
-		return false
-	}
-	bit := uint64(1) << (w.high - seq)
-	if w.seen&bit != 0 {
-		return false
-	}
-	w.seen |= bit
-	return true
-}
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -66,8 +66,8 @@
 	Self             func() Self
 	Refresh          func()               // asks for the list of servers out of turn
 	Notice           func(member.Changed) // is told of each change; nil for nobody
-	// Heard is told of the readings of servers that a peer passes on; nil for nobody. It must not block.
-	Heard func(from string, readings []subset.Reading)
+	// Heard is told of what a peer passes on of servers, a subset.Heard or HeardPlaced; nil for nobody. It must not block.
+	Heard func(ev subset.Event)
 	Log   zerolog.Logger
 }
 
@@ -97,7 +97,7 @@
 		nodes   map[string]*memberlist.Node // by name, copies as last heard of: memberlist writes to its own
 		there   map[string]bool             // those of them that are alive
 		digests map[string][]byte           // by name, as they came
-		replays map[string]*window
+		replays map[string]*subset.Window
 	}
 
 	meter member.Meter
@@ -109,7 +109,7 @@
 	n := &Node{cfg: c, log: c.Log, inbox: make(chan member.Event, inboxRoom), words: make(chan word, wordsRoom), drops: newDrops(c.Log), net: &traffic{},
 		big: make(chan struct{}, reliableRoom), carry: overSockets, stopped: make(chan struct{})}
 	n.book.nodes, n.book.there = map[string]*memberlist.Node{}, map[string]bool{}
-	n.book.digests, n.book.replays = map[string][]byte{}, map[string]*window{}
+	n.book.digests, n.book.replays = map[string][]byte{}, map[string]*subset.Window{}
 	n.queue = &memberlist.TransmitLimitedQueue{NumNodes: n.count, RetransmitMult: 3}
 	if len(c.Keys) > 0 {
 		ring, err := memberlist.NewKeyring(c.Keys, c.Keys[0])
@@ -547,7 +547,21 @@
 			n.drops.count(replayed, e.From)
 			return
 		}
-		n.cfg.Heard(e.From, readings)
+		n.cfg.Heard(subset.Heard{From: e.From, Readings: readings})
+	case kindPlaced:
+		if n.cfg.Heard == nil {
+			return
+		}
+		rows, err := readPlaced(e.Body)
+		if err != nil {
+			n.drops.count(malformed, err.Error())
+			return
+		}
+		if !n.fresh(e) {
+			n.drops.count(replayed, e.From)
+			return
+		}
+		n.cfg.Heard(subset.HeardPlaced{From: e.From, Rows: rows})
 	default: // of a later version
 		n.drops.count(unknown, strconv.Itoa(int(e.Kind)))
 	}
@@ -577,10 +591,10 @@
 		if len(n.book.replays) >= mostPeers {
 			return false
 		}
-		w = &window{}
+		w = &subset.Window{}
 		n.book.replays[e.From] = w
 	}
-	return w.take(e.Incarnation, e.Seq)
+	return w.Take(e.Incarnation, e.Seq)
 }
 
 // delegate is the Node as memberlist sees it. Its methods must not block.
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -386,23 +386,6 @@
 	}
 }
 
-// The window takes each number once, in any order, up to 64 behind.
-func TestWindow(t *testing.T) {
-	for seed := range uint64(50) {
-		rng, w, seen := rand.New(rand.NewPCG(seed, 1)), window{}, map[uint64]bool{}
-		for high := uint64(100); high < 400; high++ {
-			n := high - rng.Uint64N(63)
-			if got := w.take(1, n); got == seen[n] {
-				t.Fatalf("seed %d: %d taken: %v, seen before: %v", seed, n, got, seen[n])
-			}
-			seen[n] = true
-		}
-		if w.take(1, 1) || !w.take(2, 1) || w.take(1, 1000) {
-			t.Error("a number far behind, or of an earlier life, was taken, or one of a new life was not")
-		}
-	}
-}
-
 // A record that is torn, of another relay, of another site, of a later version, or that cannot be kept, leads to no
 // promise: the relay says so once and reckons by the settings' number.
 func TestDiskTrouble(t *testing.T) {
--- a/internal/wire/gossip/word.go
+++ b/internal/wire/gossip/word.go
@@ -14,10 +14,11 @@
 	mostWords = 20 // readings in one packet: up to 45 bytes each, and the names of their origins
 )
 
-// word is readings on their way to a peer.
+// word is readings, or rows of placements, on their way to a peer.
 type word struct {
 	to       string
 	readings []subset.Reading
+	rows     []subset.Placed
 }
 
 // wireWord is a packet of readings. Origins are named once, and readings point at them.
@@ -39,6 +40,23 @@
 	Load, Inflight, Errors, Busy int64
 }
 
+// wirePlaced is a packet of placements.
+type wirePlaced struct {
+	_     struct{} `cbor:",toarray"`
+	Names []string
+	Rows  []wireRow
+}
+
+type wireRow struct {
+	_    struct{} `cbor:",toarray"`
+	Spot uint64
+	By   int
+	Life uint64
+	Seq  uint64
+	N    int
+	Age  int64
+}
+
 // Party is who takes part in looking at servers by turns: the members of the view held, with the zones that they tell.
 func (n *Node) Party() (relays []subset.Relay, life uint64) {
 	n.mu.Lock()
@@ -61,15 +79,25 @@
 
 // Spread passes readings on to a peer, when Run comes to it.
 func (n *Node) Spread(to string, readings []subset.Reading) {
+	n.spread(word{to: to, readings: readings})
+}
+
+// SpreadPlaced passes placements on to a peer, when Run comes to it.
+func (n *Node) SpreadPlaced(to string, rows []subset.Placed) { n.spread(word{to: to, rows: rows}) }
+
+func (n *Node) spread(w word) {
 	select {
-	case n.words <- word{to, readings}:
+	case n.words <- w:
 	default:
 		n.drops.count(overrun, "")
 	}
 }
 
-// say sends readings, in packets of a size.
+// say sends readings and placements, in packets of a size.
 func (n *Node) say(w word) {
+	if len(w.rows) > 0 {
+		n.sendTo(w.to, kindPlaced, writePlaced(w.rows))
+	}
 	for len(w.readings) > 0 {
 		some := w.readings[:min(len(w.readings), mostWords)]
 		w.readings = w.readings[len(some):]
@@ -86,18 +114,64 @@
 	return int64(math.Round(min(x, 1e9) * 1000))
 }
 
+// names gives each name a number.
+type names struct {
+	list []string
+	at   map[string]int
+}
+
+func (n *names) of(name string) int {
+	by, known := n.at[name]
+	if !known {
+		by = len(n.list)
+		if n.at == nil {
+			n.at = map[string]int{}
+		}
+		n.at[name] = by
+		n.list = append(n.list, name)
+	}
+	return by
+}
+
+// origin is the name that a number in a packet stands for.
+func origin(list []string, by int) (string, error) {
+	if by < 0 || by >= len(list) || !GoodName(list[by]) {
+		return "", errWord
+	}
+	return list[by], nil
+}
+
+func writePlaced(rows []subset.Placed) (w wirePlaced) {
+	var all names
+	for _, r := range rows {
+		w.Rows = append(w.Rows, wireRow{Spot: r.Spot, By: all.of(r.By), Life: r.Life, Seq: r.Seq, N: r.N, Age: int64(r.Age)})
+	}
+	w.Names = all.list
+	return w
+}
+
+func readPlaced(body []byte) (out []subset.Placed, err error) {
+	var w wirePlaced
+	if err := cbor.Unmarshal(body, &w); err != nil || len(w.Rows) > 2*subset.PlacedMost {
+		return nil, errWord
+	}
+	for _, r := range w.Rows {
+		by, err := origin(w.Names, r.By)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, subset.Placed{Spot: r.Spot, By: by, Life: r.Life, Seq: r.Seq, N: r.N, Age: float64(r.Age)})
+	}
+	return out, nil
+}
+
 func writeWord(readings []subset.Reading) (w wireWord) {
-	at := map[string]int{}
+	var all names
 	for _, r := range readings {
-		by, known := at[r.By]
-		if !known {
-			by = len(w.Names)
-			at[r.By] = by
-			w.Names = append(w.Names, r.By)
-		}
-		w.Readings = append(w.Readings, wireReading{Spot: r.Spot, Started: r.Started, By: by, Life: r.Life, At: int64(r.At), Age: int64(r.Age),
+		w.Readings = append(w.Readings, wireReading{Spot: r.Spot, Started: r.Started, By: all.of(r.By), Life: r.Life, At: int64(r.At), Age: int64(r.Age),
 			Load: milli(r.Load.Load), Inflight: milli(r.Inflight), Errors: milli(r.Errors), Busy: milli(r.Busy)})
 	}
+	w.Names = all.list
 	return w
 }
 
@@ -115,10 +189,11 @@
 		return float64(x) / 1000
 	}
 	for _, r := range w.Readings {
-		if r.By < 0 || r.By >= len(w.Names) || !GoodName(w.Names[r.By]) || r.Age < 0 {
+		by, err := origin(w.Names, r.By)
+		if err != nil || r.Age < 0 {
 			return nil, errWord
 		}
-		out = append(out, subset.Reading{Spot: r.Spot, Started: r.Started, By: w.Names[r.By], Life: r.Life, At: float64(r.At), Age: float64(r.Age),
+		out = append(out, subset.Reading{Spot: r.Spot, Started: r.Started, By: by, Life: r.Life, At: float64(r.At), Age: float64(r.Age),
 			Load: subset.Load{Load: part(r.Load), Inflight: part(r.Inflight), Errors: part(r.Errors), Busy: part(r.Busy)}})
 	}
 	return out, nil
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -164,6 +164,13 @@
 
 // Dial connects. Keep-alive stays off: it notices nothing that the protocols' own lines do not.
 func Dial(ctx context.Context, addr string, within float64) (net.Conn, error) {
+	if err := reach(ctx, addr, within); err != nil {
+		return nil, err
+	}
 	d := net.Dialer{Timeout: memory.Duration(max(within, 1)), KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return through(conn, addr), nil
 }
--- /dev/null
+++ b/internal/wire/link/seam.go
@@ -0,0 +1,14 @@
+//go:build !faults
+
+package link
+
+import (
+	"context"
+	"net"
+)
+
+// reach is where tests keep servers out of reach; this program does not.
+func reach(context.Context, string, float64) error { return nil }
+
+// through is where tests cut connections; this program does not.
+func through(conn net.Conn, _ string) net.Conn { return conn }
--- /dev/null
+++ b/internal/wire/link/seam_faults.go
@@ -0,0 +1,69 @@
+//go:build faults
+
+package link
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"capersail/internal/fault"
+	"capersail/internal/memory"
+)
+
+// reach waits in vain for a server that the rules keep out of reach.
+func reach(ctx context.Context, addr string, within float64) error {
+	if fault.Reaches(addr) {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(memory.Duration(max(within, 1))):
+		return os.ErrDeadlineExceeded
+	}
+}
+
+// through wraps a connection that the rules may cut.
+func through(conn net.Conn, addr string) net.Conn { return &cuttable{Conn: conn, addr: addr} }
+
+// cuttable says nothing while its other side is out of reach, and is reset when it is back, as what was lost is lost.
+type cuttable struct {
+	net.Conn
+	addr string
+	lost atomic.Bool
+}
+
+func (c *cuttable) cut() bool {
+	if !fault.Reaches(c.addr) {
+		c.lost.Store(true)
+		return true
+	}
+	return false
+}
+
+func (c *cuttable) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		switch {
+		case c.cut() && err == nil:
+			continue
+		case c.lost.Load() && err == nil:
+			return 0, syscall.ECONNRESET
+		}
+		return n, err
+	}
+}
+
+func (c *cuttable) Write(b []byte) (int, error) {
+	switch {
+	case c.cut():
+		return len(b), nil
+	case c.lost.Load():
+		return 0, syscall.ECONNRESET
+	}
+	return c.Conn.Write(b)
+}
