--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -534,11 +534,11 @@
 			return
 		}
 		n.post(member.Got{From: e.From, Message: m})
-	case kindWord:
+	case kindWord, kindPlaced:
 		if n.cfg.Heard == nil {
 			return
 		}
-		readings, err := readWord(e.Body)
+		ev, err := readTalk(e)
 		if err != nil {
 			n.drops.count(malformed, err.Error())
 			return
@@ -547,21 +547,7 @@
 			n.drops.count(replayed, e.From)
 			return
 		}
-		n.cfg.Heard(subset.Heard{From: e.From, Readings: readings})
-	case kindPlaced:
-		if n.cfg.Heard == nil {
-			return
-		}
-		rows, err := readPlaced(e.Body)
-		if err != nil {
-			n.drops.count(malformed, err.Error())
-			return
-		}
-		if !n.fresh(e) {
-			n.drops.count(replayed, e.From)
-			return
-		}
-		n.cfg.Heard(subset.HeardPlaced{From: e.From, Rows: rows})
+		n.cfg.Heard(ev)
 	default: // of a later version
 		n.drops.count(unknown, strconv.Itoa(int(e.Kind)))
 	}
--- a/internal/wire/gossip/gossip_test.go
+++ b/internal/wire/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"runtime"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 	"gonum.org/v1/plot/plotter"
 
 	"capersail/internal/fleet/member"
+	"capersail/internal/fleet/subset"
 	"capersail/internal/memory"
 	"capersail/internal/proving"
 )
@@ -386,6 +388,34 @@
 	}
 }
 
+// Readings and placements come through as they were told; those of origins that their packet does not name are dropped.
+func TestTalkComesThrough(t *testing.T) {
+	n := lone(t)
+	var got []subset.Event
+	n.cfg.Heard = func(ev subset.Event) { got = append(got, ev) }
+	rows := []subset.Placed{{Spot: 1 << 63, By: "a", Life: 3, Seq: 4, N: 2, Age: 17}, {Spot: 5, By: "b", Life: 1, Seq: 9, N: -3, Age: 0}}
+	readings := []subset.Reading{{Spot: 7, Started: 50, By: "a", Life: 3, At: 1234, Age: 20, Load: subset.Load{Load: 0.5, Inflight: -1, Errors: 0, Busy: 1.25}}}
+	bad := writePlaced(rows)
+	bad.Rows[1].By = 2
+	for i, c := range []struct {
+		k    kind
+		body any
+	}{{kindPlaced, writePlaced(rows)}, {kindWord, writeWord(readings)}, {kindPlaced, bad}} {
+		text, err := seal("peer", 4, uint64(i+1), c.k, c.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.take(text, true)
+		n.take(text, true) // a replay
+	}
+	if want := []subset.Event{subset.HeardPlaced{From: "peer", Rows: rows}, subset.Heard{From: "peer", Readings: readings}}; !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v", got)
+	}
+	if n.drops.total[malformed].Load() != 2 || n.drops.total[replayed].Load() != 2 {
+		t.Errorf("%d malformed, %d replayed", n.drops.total[malformed].Load(), n.drops.total[replayed].Load())
+	}
+}
+
 // A record that is torn, of another relay, of another site, of a later version, or that cannot be kept, leads to no
 // promise: the relay says so once and reckons by the settings' number.
 func TestDiskTrouble(t *testing.T) {
--- a/internal/wire/gossip/word.go
+++ b/internal/wire/gossip/word.go
@@ -141,6 +141,16 @@
 	return list[by], nil
 }
 
+// readTalk is what an envelope of readings or placements says.
+func readTalk(e envelope) (subset.Event, error) {
+	if e.Kind == kindPlaced {
+		rows, err := readPlaced(e.Body)
+		return subset.HeardPlaced{From: e.From, Rows: rows}, err
+	}
+	readings, err := readWord(e.Body)
+	return subset.Heard{From: e.From, Readings: readings}, err
+}
+
 func writePlaced(rows []subset.Placed) (w wirePlaced) {
 	var all names
 	for _, r := range rows {
