Watch the agent that pushes lists, and hold calls to discovery to the 6 s of news

The relays' logs have no line of discovery at all. Ruled out: a late first byte (Begin checks the newest list) and a back-off (no call was made). Change: where lists are pushed discovery.Client watches from the start and opens each watch anew after 100 ms; the module does not hear of it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	groupLoad     = 0.6                     // a group goes to its next backend beyond this
 	stillFor      = 2                       // probes in a row that a silent backend leaves unanswered
 	errorHold     = 4 * time.Second         // an erring backend is left out for up to this, doubling
+	askAgain      = 3 * time.Second         // discovery is called again within this: news may take 6 s
 	callsAWhile   = 140                     // calls that discovery surely works through in AskWithin
 	mostPriced    = 128                     // readings that a placement looks at: among them one of the best 3%
 )
@@ -99,7 +100,7 @@
 	if e.Kind == Failed {
 		b.asked++
 		least := max(b.set.Tick*100, b.turns())
-		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(b.set.Rules.AskWithin/2, least)))
+		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(askAgain, least)))
 		return
 	}
 	if e.Kind == Cached {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -645,7 +645,7 @@
 		}
 		for range 8 {
 			timers = all[Timer](b.Handle(2*time.Minute, Members{Kind: Failed}, nil))
-			if len(timers) != 1 || timers[0].After > set.Rules.AskWithin/2 {
+			if len(timers) != 1 || timers[0].After > 3*time.Second { // of the 6 s in which news has to come
 				t.Fatalf("after a failed call: %v", timers)
 			}
 		}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -226,6 +226,7 @@
 	servers := &platform.Servers{Clock: clock, ConnectTimeout: memory.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey, Keep: probeSockets}
 	x := memory.NewExchange(c.Site, clock, servers)
 	lister := discovery.NewClient(c.Discovery, x, log)
+	lister.Pushed = !c.Site.Settings.Ask
 	l, inherited, err := listen(c)
 	if err != nil {
 		return nil, err
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -3,49 +3,51 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"math"
-	"net"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
-	"github.com/valyala/fastjson"
 
 	"capersail/decide"
 	"capersail/internal/memory"
 )
 
+// What discovery has to tell counts as told 6 s after it could be reached, or after a watch fell silent, whatever failed
+// meanwhile. These times, and the back-off of at most 3 s that the module draws after a failed call, add up to less:
+//
+//	a watch falls silent, and the call that replaces it hangs:  quietWithin + secondAfter = 4.5 s, and the answer
+//	reached just after a call began that hangs:                 secondAfter               = 1.5 s, and the answer
+//	reached just after the last of two calls could not begin:   dialWithin + 3 s          = 4.5 s, and the answer
+//
+// A fleet whose calls discovery cannot work through in 3 s waits for longer: docs/operate/fleet.md has that sum.
 const (
-	connectWithin = 1000.0
-	headWithin    = 4000.0  // discovery works through calls in turn; one that waited too long ends with 503
-	quietWithin   = 3500.0  // a watch brings a line at least every 2 s; what it has to tell counts after 6 s
-	maxList       = 8 << 20 // bytes of one list
-	maxLine       = 4096    // of a head
+	dialWithin  = 1500.0 // ms until a connection is up
+	headWithin  = 4000.0 // ms until an answer begins: discovery works through calls in turn
+	secondAfter = 1500.0 // ms without an answer after which a second call is made beside the first
+	quietWithin = 3000.0 // ms without a line: a watch brings one at least every 2 s
+	// pushedAgain is how long after a failed call to the relay's own agent the next one is made, in ms. What the agent has
+	// counts as told whether or not a watch is open, and nobody else calls it.
+	pushedAgain = 100.0
 )
 
-// List is what discovery knew at some time.
-type List struct {
-	Version int64
-	Full    bool
-	Entries []memory.Listed
-}
-
 // Client asks discovery. The module says when; it also draws the jittered wait after a failed call.
 type Client struct {
-	clock *memory.Clock
-	tell  func(decide.ListKind, []memory.Listed)
-	log   zerolog.Logger
-	quiet float64       // ms without a line after which a watch has fallen silent
-	asks  chan bool     // true for a watch, false for the whole list
-	moved chan struct{} // holds one token while a new address waits to be followed
+	clock  *memory.Clock
+	tell   func(decide.ListKind, []memory.Listed)
+	log    zerolog.Logger
+	quiet  float64       // quietWithin; tests have shorter ones
+	within float64       // headWithin, the same
+	second float64       // secondAfter, the same
+	asks   chan bool     // true for a watch, false for the whole list
+	moved  chan struct{} // holds one token while a new address waits to be followed
+	// Pushed says that lists come from an agent of this relay's own: the client watches from the start and for good, and the
+	// module neither asks for that nor hears of failures. It is set before Run.
+	Pushed bool
+	doubt  doubt      // Run's alone
+	listed func() int // servers in the list held
 
 	generation atomic.Int64 // of the newest list taken in
 
@@ -56,7 +58,8 @@
 
 // NewClient returns a client of the service at an address.
 func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
-	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, quiet: quietWithin, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
+	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, quiet: quietWithin, within: headWithin, second: secondAfter,
+		listed: func() int { return x.Cluster().Listed }, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
 }
 
 // SetAddress follows discovery to another address at once. The call that is out is ended, and the module
@@ -128,12 +131,15 @@
 // errSilent ends a watch that had begun and brings no line any more. What it misses counts as told 6 s after it fell
 // silent, so another is opened at once, and the module hears of it only if that one fails: its back-off, up to 7.5 s for
 // 300 relays, is for a service that answers too many.
-var errSilent = errors.New("silent")
+var errSilent = errors.New("the watch has fallen silent")
+
+// errDoubted ends a call that brought a list which a second call has to confirm.
+var errDoubted = errors.New("a list that takes back what is known")
 
 // Run carries calls out, one after the other, until the context ends. version is that of the list held.
 func (c *Client) Run(ctx context.Context, version int64) {
-	for watch, moved, silent := false, false, false; ; moved = len(c.moved) > 0 {
-		if !moved && !silent {
+	for watch, moved, again := c.Pushed, false, c.Pushed; ; moved = len(c.moved) > 0 {
+		if !moved && !again {
 			select {
 			case <-ctx.Done():
 				return
@@ -149,12 +155,21 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if silent = errors.Is(err, errSilent) && len(c.moved) == 0; silent {
-			c.log.Info().Msg("the watch has fallen silent; opening another")
-			watch = true
-			continue
-		}
-		if len(c.moved) == 0 && (watch || err != nil) {
+		again = false
+		switch {
+		case len(c.moved) > 0:
+		case errors.Is(err, errSilent), errors.Is(err, errDoubted):
+			c.log.Info().Err(err).Msg("asking discovery again at once")
+			again = true
+		case c.Pushed:
+			c.log.Info().Err(err).Msg("the agent's watch ended; opening another")
+			again = true
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.clock.After(pushedAgain):
+			}
+		case watch || err != nil:
 			c.log.Info().Err(err).Bool("watch", watch).Msg("discovery call ended")
 			c.settle()
 			c.tell(decide.Failed, nil)
@@ -188,208 +203,9 @@
 		*version = anew
 	}
 	if *version == anew || !watch {
-		if err := c.call(ctx, address, path, version); errors.Is(err, errSilent) { // no watch: a whole list that was cut short
-			return errors.New("the list stopped in the middle")
-		} else if err != nil || !watch {
+		if err := c.call(ctx, address, path, version); err != nil || !watch {
 			return err
 		}
 	}
 	return c.call(ctx, address, fmt.Sprintf("%s?watch=1&after=%d", path, *version), version)
 }
-
-// call makes one call and takes in every list that it brings.
-func (c *Client) call(ctx context.Context, address, path string, version *int64) error {
-	d := net.Dialer{Timeout: memory.Duration(connectWithin)}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("dial: %w", err)
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	within := func(ms float64) { conn.SetDeadline(c.clock.Wall(c.clock.Now() + ms)) }
-	within(headWithin)
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, address); err != nil {
-		return fmt.Errorf("ask: %w", err)
-	}
-	r := bufio.NewReaderSize(conn, maxLine)
-	body, err := head(r)
-	if err != nil {
-		return err
-	}
-	lines := bufio.NewReaderSize(body, 64<<10)
-	for begun := false; ; begun = true {
-		within(c.quiet)
-		line, err := readLine(lines)
-		if text := strings.TrimSpace(string(line)); text != "" {
-			list, err := Parse(text, c.log)
-			if err != nil {
-				return err
-			}
-			if !begun && !list.Full && list.Version < *version {
-				return errOther
-			}
-			*version = list.Version
-			c.generation.Store(list.Version)
-			kind := decide.Delta
-			if list.Full {
-				kind = decide.Whole
-			}
-			c.tell(kind, list.Entries)
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if begun && errors.Is(err, os.ErrDeadlineExceeded) {
-			return errSilent
-		}
-		if err != nil {
-			return fmt.Errorf("read: %w", err)
-		}
-	}
-}
-
-// readLine reads a line of at most maxList bytes.
-func readLine(r *bufio.Reader) (line []byte, err error) {
-	for {
-		part, err := r.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxList {
-			return nil, errors.New("a list over the bound")
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
-		}
-	}
-}
-
-// head reads an answer's status and fields and returns its body.
-func head(r *bufio.Reader) (io.Reader, error) {
-	next := func() (string, error) {
-		line, err := r.ReadSlice('\n')
-		return strings.TrimRight(string(line), "\r\n"), err
-	}
-	status, err := next()
-	if err != nil {
-		return nil, fmt.Errorf("status line: %w", err)
-	}
-	parts := strings.SplitN(status, " ", 3)
-	if len(parts) < 2 || !strings.HasPrefix(parts[0], "HTTP/1.") {
-		return nil, fmt.Errorf("status line %.60q", status)
-	}
-	if parts[1] != "200" {
-		return nil, fmt.Errorf("discovery answered %s", parts[1])
-	}
-	length, chunked := int64(math.MaxInt64), false
-	for n := 0; ; n++ {
-		line, err := next()
-		if err != nil || n > 100 {
-			return nil, fmt.Errorf("head: %d fields: %w", n, err)
-		}
-		if line == "" {
-			break
-		}
-		name, value, _ := strings.Cut(line, ":")
-		value = strings.TrimSpace(value)
-		switch strings.ToLower(name) {
-		case "content-length":
-			if length, err = strconv.ParseInt(value, 10, 64); err != nil || length < 0 {
-				return nil, fmt.Errorf("content-length %.40q", value)
-			}
-		case "transfer-encoding":
-			chunked = strings.EqualFold(value, "chunked")
-		}
-	}
-	if chunked {
-		return &chunks{r: r}, nil
-	}
-	return io.LimitReader(r, length), nil
-}
-
-// chunks reads a chunked body.
-type chunks struct {
-	r    *bufio.Reader
-	left int64 // of the present chunk
-	open bool  // its end has not been read
-}
-
-func (c *chunks) Read(p []byte) (int, error) {
-	for c.left == 0 {
-		if c.open {
-			if _, err := c.r.ReadSlice('\n'); err != nil {
-				return 0, cut(err)
-			}
-			c.open = false
-		}
-		line, err := c.r.ReadSlice('\n')
-		if err != nil {
-			return 0, cut(err)
-		}
-		size, _, _ := strings.Cut(strings.TrimSpace(string(line)), ";")
-		if c.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || c.left < 0 {
-			return 0, fmt.Errorf("chunk size %.40q", size)
-		}
-		if c.left == 0 {
-			return 0, io.EOF
-		}
-		c.open = true
-	}
-	n, err := c.r.Read(p[:min(int64(len(p)), c.left)])
-	c.left -= int64(n)
-	return n, cut(err)
-}
-
-// cut marks an end in the middle of a body, which is no clean one.
-func cut(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// Parse reads one list, as discovery sends it or as a relay's configuration holds it. An entry that makes
-// no sense is logged and skipped: one bad line must not hide the news about all other servers.
-func Parse(text string, log zerolog.Logger) (*List, error) {
-	v, err := fastjson.Parse(text)
-	if err != nil {
-		return nil, fmt.Errorf("list: %w", err)
-	}
-	// An empty array is a list too: a watch that has missed nothing begins with one. fastjson gives nil for
-	// it, as for no array at all, so the type is what counts.
-	if in := v.Get("instances"); v.Type() != fastjson.TypeObject || in != nil && in.Type() != fastjson.TypeArray {
-		return nil, fmt.Errorf("list: not an object with an array of instances")
-	}
-	list := &List{Version: v.GetInt64("generation"), Full: v.GetBool("reset")}
-	for _, e := range v.GetArray("instances") {
-		if l, err := entry(e); err != nil {
-			log.Warn().Err(err).Str("entry", e.String()).Msg("bad entry in the list; skipped")
-		} else {
-			list.Entries = append(list.Entries, l)
-		}
-	}
-	return list, nil
-}
-
-func entry(e *fastjson.Value) (memory.Listed, error) {
-	l := memory.Listed{ID: string(e.GetStringBytes("instanceId")), Address: string(e.GetStringBytes("hostPort")),
-		Zone: string(e.GetStringBytes("zone")), Cell: int32(e.GetInt("cell")), Started: e.GetFloat64("startedAtMs"),
-		Resumes: e.GetBool("resumes")}
-	if l.ID == "" {
-		return l, fmt.Errorf("instanceId is missing")
-	}
-	switch mode := string(e.GetStringBytes("lifecycle")); mode {
-	case "Ready":
-		l.Mode = decide.Ready
-	case "Terminating":
-		l.Mode = decide.Draining
-	case "Gone":
-		l.Mode = decide.GoneMode
-	default:
-		return l, fmt.Errorf("lifecycle %q", mode)
-	}
-	if l.Mode != decide.GoneMode {
-		if _, _, err := net.SplitHostPort(l.Address); err != nil {
-			return l, fmt.Errorf("hostPort: %w", err)
-		}
-	}
-	return l, nil
-}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -164,7 +164,8 @@
 }
 
 // A watch that has begun and falls silent is opened anew at once, after the version that came last, and the module's back-off
-// of up to 7.5 s is not waited for: what was missed counts as told 6 s later. One that is silent from its begin is a failure.
+// of up to 7.5 s is not waited for: what was missed counts as told 6 s later. One that is silent from its begin is a failure, once
+// a second call beside it has been silent too.
 func TestSilentWatchIsOpenedAnew(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -194,7 +195,7 @@
 	}()
 	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
 	c := NewClient(l.Addr().String(), x, zerolog.Nop())
-	c.quiet = 700
+	c.quiet, c.second, c.within = 700, 100, 700
 	failed := make(chan int, 8)
 	c.tell = func(kind decide.ListKind, _ []memory.Listed) {
 		if kind == decide.Failed {
@@ -203,10 +204,10 @@
 	}
 	go c.Run(t.Context(), 41)
 	c.Watch()
-	if n := <-failed; n != 3 {
+	if n := <-failed; n != 4 {
 		t.Errorf("the module was told of a failure after %d calls", n)
 	}
-	for _, want := range []string{"after=41", "after=50", "after=51"} {
+	for _, want := range []string{"after=41", "after=50", "after=51", "after=51"} {
 		select {
 		case got := <-asked:
 			if !strings.HasSuffix(got, want) {
