Judge servers whose load nobody tells by own connections and by late probes

Cause: with neither reports nor quotas guessed load, adds and the cold budget were all 0 or a constant (decide.go, read, coldBudget), so groups stayed on the first of their circle whatever it held. Change: guessed() goes by the relay's own part and by probes far later than usual; a cold server's budget by the mean of connections held; admit refuses where the best is overdriven.

--- /dev/null
+++ b/decide/blind_test.go
@@ -0,0 +1,75 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// Where no report tells a load and no tenant has a quota, every backend was reckoned at 0: a relay sent all of a group to the first
+// of its circle, whatever it held there and however long that took to answer, and a cold one got what a constant allowed.
+func TestBlindSiteSpreads(t *testing.T) {
+	place := func(took func(Backend) time.Duration) map[Backend]int {
+		set := settings()
+		set.Tenants, set.Groups, set.Relays = nil, true, 1
+		r := newRelay(t, set, 3, 8)
+		on := map[Backend]int{}
+		for id := RequestID(1); id <= 200; id++ {
+			acts := r.pass(300 * ms).do(Request{ID: id, Tenant: NoTenant, Left: 2 * time.Second, Group: 1 + uint64(id)%2*(uint64(id)%12)})
+			for i := 0; i < len(acts); i++ {
+				if p, ok := acts[i].(Probe); ok {
+					acts = append(acts, r.do(Probed{Backend: p.Backend, Took: took(p.Backend), Report: NoReport})...)
+				}
+			}
+			for _, s := range all[Send](acts) {
+				on[s.Backend]++
+				r.do(Opened{ID: id, Backend: s.Backend, Took: 10 * ms})
+			}
+		}
+		return on
+	}
+	even := place(func(Backend) time.Duration { return 4 * ms })
+	most, used := 0, 0
+	for _, n := range even {
+		most, used = max(most, n), used+1
+	}
+	if most > 70 || used < 5 { // half of them are one group's, which the first of its circle got all
+		t.Errorf("200 connections of seven groups over eight backends: %v", even)
+	}
+	late := place(func(id Backend) time.Duration {
+		if id == 2 {
+			return 120 * ms
+		}
+		return 4 * ms
+	})
+	if late[2] > even[2]/2 {
+		t.Errorf("one that takes 120 ms to answer a probe got %d, and %d when it took 4: %v", late[2], even[2], late)
+	}
+}
+
+// A fresh backend of such a site warms up with more than a trickle, and with less than what fills it.
+func TestBlindSiteWarmsUp(t *testing.T) {
+	set := settings()
+	set.Tenants, set.Relays, set.Rules.FallFor = nil, 1, 3*time.Second
+	r := newRelay(t, set, 5, 4)
+	sent := 0
+	for id := RequestID(1); id <= 600; id++ {
+		if id == 400 { // the four hold 400 now
+			r.do(Members{Kind: Delta, Entries: []Entry{{Backend: 4, Mode: Ready, Spot: 99, Since: r.now}}})
+		}
+		acts := r.pass(20 * ms).do(Request{ID: id, Tenant: NoTenant, Left: 2 * time.Second})
+		for i := 0; i < len(acts); i++ {
+			if p, ok := acts[i].(Probe); ok {
+				acts = append(acts, r.do(Probed{Backend: p.Backend, Took: 4 * ms, Report: NoReport})...)
+			}
+		}
+		for _, s := range all[Send](acts) {
+			r.do(Opened{ID: id, Backend: s.Backend, Took: 10 * ms})
+			if s.Backend == 4 {
+				sent++
+			}
+		}
+	}
+	if sent < 8 || sent > 60 { // in 4 s; the constant allowed 3
+		t.Errorf("%d connections in 4 s to a server that has just started, where the others hold 100 each", sent)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,7 @@
 	noteEvery     = 1100 * time.Millisecond // a note of delay comes again within this
 	quotaOfAll    = 0.8                     // part of all backends' capacity that tenants' quotas add up to
 	overQuota     = 2.5                     // most that a connection adds, by what groups pay, over its mean
+	fewHeld       = 4                       // own connections at a backend that tell little of it
 	groupLoad     = 0.6                     // a group goes to its next backend beyond this
 	stillFor      = 2                       // probes in a row that a silent backend leaves unanswered
 	errorHold     = 4 * time.Second         // an erring backend is left out for up to this, doubling
@@ -103,12 +104,10 @@
 		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(askAgain, least)))
 		return
 	}
-	if e.Kind == Cached {
-		if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
-			b.wake(wakeDiscovery, 0, time.Duration(b.jitter*float64(max(b.set.Rules.AskWithin/8, b.turns()))))
-		}
-	} else { // any list is an answer
+	if e.Kind != Cached { // any list is an answer
 		b.asked = 0
+	} else if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
+		b.wake(wakeDiscovery, 0, time.Duration(b.jitter*float64(max(b.set.Rules.AskWithin/8, b.turns()))))
 	}
 	if e.Kind != Delta { // who is not in a whole list is gone
 		for i := range b.fleet {
@@ -241,12 +240,8 @@
 	if len(s.held) > 0 && (e.Status == OK || s.mute > 0) { // one that answers with an error still serves them
 		b.look(e.Backend, s)
 	}
-	i := 0
-	for range len(b.waiting) { // not those that start to wait meanwhile for another zone's answers
-		if r := b.waiting[i]; r.need > 1 {
-			r.need--
-			i++
-		} else {
+	for _, r := range slices.Clone(b.waiting) { // some wait on meanwhile, for another zone's answers
+		if r.need--; r.need < 1 {
 			b.unwait(r)
 			b.place(r)
 		}
@@ -255,8 +250,8 @@
 
 func (b *Balancer) read(s *server, e Probed) {
 	s.load = max(e.Report.Load, e.Report.Busy)
-	if s.guess = s.load < 0; s.guess { // none yet, as at a start: what this relay holds there is all there is
-		s.load = min(float64(len(s.held)*b.set.Relays)*b.supposed(), easeLoad)
+	if s.guess = s.load < 0; s.guess {
+		s.load = b.guessed(s, e.Took)
 	} else {
 		b.learn(s, e.Report)
 	}
@@ -270,11 +265,20 @@
 	}
 }
 
-// learn follows what a connection adds to a warm backend's load, as mean load over mean connections held.
-// Where no report counts those, they are what all relays hold, spread over the fleet. A cold
-// backend's few say too little: a new relay once took a connection for nothing, its budget for endless. And a
-// relay's own tell little where others hold more: one with 8 of 57 took each for a sixth of a backend, and
-// refused what came from the others at their restart. So the tenants' quotas bound what is learnt.
+// guessed is a load that no report tells. One that answers probes late is overdriven; else what this
+// relay holds there is all there is, as at a start, or where no quota says what that adds, its part of it.
+func (b *Balancer) guessed(s *server, took time.Duration) float64 {
+	own := func(n int) float64 { return float64(n) + fewHeld }
+	if b.slow(took) && b.loads == 0 {
+		return 1
+	} else if b.quota > 0 {
+		return min(float64(len(s.held)*b.set.Relays)*b.supposed(), easeLoad)
+	}
+	return min(busyLoad*own(len(s.held))/own(b.held/max(b.listed(), 1)), easeLoad)
+}
+
+// learn follows what a connection adds to a warm backend's load: mean load over mean connections held, or
+// what all relays hold where no report counts them. Quotas bound it, as who holds few has seen too little.
 func (b *Balancer) learn(s *server, report Report) {
 	if b.warmth(s) < 1 {
 		return
@@ -302,8 +306,7 @@
 	return quotaOfAll * float64(b.most) / b.quota
 }
 
-// adds is what one more connection is taken to add. A relay that holds few has seen few: one that had just
-// started took them for nothing, and what room there was for endless.
+// adds is what one more connection is taken to add. A relay that holds few has seen few.
 func (b *Balancer) adds() float64 { return max(b.perConn, b.supposed()) }
 
 // lateness is the part of messages that come late at a load, by its fourth power: so steeply it grows as load
@@ -378,11 +381,12 @@
 // send together (rule 4), spread over how often it comes upon that backend now. Chances do not add up, so
 // a surge keeps within it. A warm backend holds 1/perConn connections and turns them over in a mean life.
 func (b *Balancer) coldBudget(s *server) bool {
-	budget := coldShare / b.set.Rules.FallFor.Seconds()
-	if adds := b.adds(); adds > 0 {
-		life := max(b.set.Rules.Cold.Seconds(), float64(b.held)*(b.now-b.began).Seconds()/(b.arrived+1))
-		budget = coldShare * b.set.Rules.FallMultiple * b.warmth(s) / adds / life
+	adds := b.adds()
+	if adds == 0 { // nobody tells: who holds the mean is taken for full
+		adds = fullLoad * float64(b.listed()) / max(b.all(), float64(b.listed()))
 	}
+	life := max(b.set.Rules.Cold.Seconds(), float64(b.held)*(b.now-b.began).Seconds()/(b.arrived+1))
+	budget := coldShare * b.set.Rules.FallMultiple * b.warmth(s) / adds / life
 	among := len(b.zones[s.Zone])
 	if b.set.Groups || b.talk.Shared { // a circle is drawn from all zones, as is what others tell
 		among = b.listed()
@@ -441,7 +445,7 @@
 // what comes to it than fills that room if the others do as it does.
 func (b *Balancer) admit(s *server) bool {
 	if s.readAt < 0 || b.adds() <= 0 {
-		return true
+		return s.readAt < 0 || s.load < fullLoad
 	}
 	roomy, seen := 0, min(len(b.pool), mostPriced)
 	for _, id := range b.pool[:seen] {
@@ -484,9 +488,8 @@
 	return -1
 }
 
-// timeout is the percentile of set-up times that leaves the tolerable rate of false time-outs, padded
-// where it lies near the median. Before there are samples it is the class's aim. It doubles with every
-// other time-out while no set-up comes: a slow store makes all late, and a late one is never a sample.
+// timeout is the percentile of set-up times that leaves the tolerable rate of false time-outs, padded where
+// it lies near the median; before there are samples the class's aim. It doubles with each other one in a row.
 func (b *Balancer) timeout(r *request) time.Duration {
 	left, limit := r.deadline-b.now, b.set.Classes[r.Class].Aim
 	if r.attempts > 1 || r.attempts >= b.set.MaxAttempts {
@@ -622,9 +625,7 @@
 	case wakeDiscovery:
 		b.do(Subscribe{})
 	case wakeShift:
-		if s := &b.fleet[id]; s.excess > 0 {
-			b.shift(Backend(id), s)
-		}
+		b.shift(Backend(id), &b.fleet[id])
 	}
 }
 
@@ -671,7 +672,7 @@
 	s.excess = 0
 	for i, held := range s.held {
 		r := b.reqs[held]
-		if r == nil {
+		if r == nil || n < 1 {
 			continue
 		}
 		pick, _ := b.best(&request{Request: Request{Group: r.Group}, ranOn: -1})
--- a/decide/state.go
+++ b/decide/state.go
@@ -74,13 +74,14 @@
 	setups   []time.Duration
 	setupAt  int
 	probeRTT time.Duration
-	loads    float64 // mean of warm backends' readings
-	conns    float64 // mean of the connections they hold
-	perConn  float64 // load that a connection adds, as a part of a backend's capacity
-	quota    float64 // connections of all tenants within their shares, 0 if not told
-	most     int     // backends listed at once so far
-	mean     float64 // load of the pool
-	held     int     // own open connections
+	usual    time.Duration // what probes take that come in good time
+	loads    float64       // mean of warm backends' readings
+	conns    float64       // mean of the connections they hold
+	perConn  float64       // load that a connection adds, as a part of a backend's capacity
+	quota    float64       // connections of all tenants within their shares, 0 if not told
+	most     int           // backends listed at once so far
+	mean     float64       // load of the pool
+	held     int           // own open connections
 	began    time.Duration
 	arrived  float64
 	recent   float64 // requests of late, fading
@@ -415,3 +416,17 @@
 	}
 	return b.rank(group, probesPerPick, true)
 }
+
+// slow notes how long a probe took and tells whether that is far longer than usual: work is piled up where it was. Of the usual
+// it learns fast what is shorter and slowly what is longer, as many may be slow at once.
+func (b *Balancer) slow(took time.Duration) bool {
+	switch {
+	case b.usual == 0:
+		b.usual = took
+	case took < b.usual:
+		b.usual += (took - b.usual) / 4
+	default:
+		b.usual += (min(took, 2*b.usual) - b.usual) / 32
+	}
+	return took > 4*b.usual+b.set.Tick
+}
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -502,6 +502,9 @@
 		}
 		c.end(Answer{Kind: NoAnswer})
 	case Up:
+		if !c.broken { // else the server ended it, and this is only the client's side of that
+			c.x.post(decide.Gone{ID: c.ID})
+		}
 		c.state = Ended
 		c.remote.Close(how)
 	}
