End connections in order, look at the last bytes before a close, and send nothing for who has gone

Cause and change: (1) a read whose deadline has passed does not look, so a request that came as its connection's time was up was thrown away by Drain (client.go, first): Take looks once more without a wait. (2) gate.evict closed the connection of another goroutine, over bytes that nobody had read, which resets it: its own goroutine ends it now (Hurry), at most 8 at a time. (3) leave returned 100 ms after FailAll, and at 700 ms with no look at connections without a request; the process's exit closed them over unread bytes: it ends those at rest (Gate.End) and waits until all are closed, before SIGKILL. (4) Begin trusted that the client side had read the client's end: it looks at the socket (Pending). (5) a repeat that a dial brought up after the window of repeats was sent: Begin keeps the window. (6) a relay that leaves told a time to come again where the settings allow none. (7) limits.sockets too small to serve was taken for 64: refused at start.

--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -82,6 +82,13 @@
 			return nil, fmt.Errorf("limits.%s: %s is not a number from 0 on", key, limit)
 		}
 	}
+	least := leastSockets
+	if c.Admin != "" {
+		least += adminSockets
+	}
+	if c.Sockets > 0 && c.Sockets < least {
+		return nil, fmt.Errorf("limits.sockets: %d; %d at least are wanted", c.Sockets, least)
+	}
 	settings := v.Get("settings")
 	if settings == nil || settings.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("settings: an object is wanted")
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -23,14 +23,16 @@
 )
 
 const (
-	ownSockets   = 16 // descriptors that serve no client: the runtime's, the log's, discovery's, two addresses of it
-	probeSockets = 16 // and those of connections kept for probes; a site with more servers dials for some probes
-	leastSockets = 64
+	ownSockets   = 16      // descriptors that serve no client: the runtime's, the log's, discovery's, two addresses of it
+	probeSockets = 16      // and those of connections kept for probes; a site with more servers dials for some probes
+	leastSockets = 64      // what a configuration has to allow, and adminSockets more with a second address
 	anySockets   = 1 << 20 // where no limit is told
 	moveStep     = 50.0
+	closeStep    = 5.0
 	longestLeave = 3000.0 // the longest deadline, where it is longer, counts as this
 	holdPart     = 0.7    // part of that time in which open connections are served on
-	graceAfter   = 300.0  // after that time; SIGKILL comes 700 ms after it at the earliest
+	graceAfter   = 300.0  // after that time all that is held has its answer; SIGKILL comes 700 ms after it at the earliest
+	closeAfter   = 600.0  // and by then every connection is closed
 	leastLeave   = 700.0  // new connections go on coming for up to 400 ms after SIGTERM
 )
 
@@ -53,6 +55,7 @@
 	listener net.Listener
 	// inherited: the listening socket is the platform's, and lives on in the process that follows this one.
 	inherited bool
+	door      *gate.Gate
 	failed    chan error
 	longest   float64 // the longest deadline of its classes
 	// reload reads the front's file again and hands each part its new value. Nothing has changed if it fails.
@@ -199,9 +202,9 @@
 	if sockets == 0 {
 		return anySockets
 	}
-	n := max(sockets, leastSockets) - ownSockets - probeSockets
+	n := sockets - ownSockets - probeSockets - gate.MostEvicted
 	if second {
-		n = max(n-adminSockets, leastSockets/2)
+		n -= adminSockets
 	}
 	return n
 }
@@ -240,7 +243,7 @@
 	core := memory.NewCore(x, c.Seed, lister, log)
 	core.Fleet, core.Shared = joint.fleet, joint.shared
 	go core.Run(ctx)
-	r := &relay{x: x, listener: l, inherited: inherited, failed: make(chan error, 1), longest: longest(c.Site)}
+	r := &relay{x: x, listener: l, inherited: inherited, door: door, failed: make(chan error, 1), longest: longest(c.Site)}
 	r.reload = func() error {
 		n, err := ReadConfig(from.Getenv, log)
 		if err != nil {
@@ -258,7 +261,9 @@
 	return r, nil
 }
 
-// leave goes on accepting, moves everyone, and sees that whatever is held has its answer before SIGKILL.
+// leave goes on accepting, moves everyone, and sees that whatever is held has its answer before SIGKILL. It ends once
+// every connection has been closed from this side, in order: a process that ends over a line that nobody has read, or over
+// an answer that the client has not taken, resets the connection, and the client has nothing.
 //
 // Open connections are served for most of the time there is, and moved evenly over the rest. In a rolling restart
 // the relay before this one may be down still: whoever is moved at once finds no relay to come to. And all at
@@ -270,17 +275,24 @@
 	for now := began; now < began+time+graceAfter; now = r.x.Clock.Now() {
 		n := r.x.MoveSome(0) - staying(all, now-began, time)
 		if left := r.x.MoveSome(n); left == 0 && now >= began+leastLeave {
-			return
+			break
 		}
 		pause(moveStep)
 	}
+	r.listener.Close() // nobody comes any more: see leastLeave
 	r.x.FailAll()
 	r.x.MoveSome(r.x.MoveSome(0))
-	pause(2 * moveStep)
+	r.door.End()
+	for r.door.Held() > 0 && r.x.Clock.Now() < began+time+closeAfter {
+		pause(closeStep)
+	}
 }
 
 // staying is how many of all calls may still be there at some point of a leave that takes so much time.
 func staying(all int, since, time float64) int {
+	if time <= 0 { // no class has a deadline: SIGKILL may come 700 ms after SIGTERM
+		return 0
+	}
 	return shareOf(all, (time-since)/(time*(1-holdPart)))
 }
 
--- a/internal/lifecycle/xmpp.go
+++ b/internal/lifecycle/xmpp.go
@@ -184,7 +184,7 @@
 	front.TLS.Store(secure)
 	go lister.Run(ctx)
 	go memory.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
-	r := &relay{x: x, listener: l, failed: make(chan error, 1), longest: longest(site)}
+	r := &relay{x: x, listener: l, door: door, failed: make(chan error, 1), longest: longest(site)}
 	r.reload = func() error {
 		n, err := ReadOperator(from.Operator)
 		if err != nil {
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -77,11 +77,13 @@
 }
 
 // Client is the client side's end of a call. Pass and Close are called by the server side only, once
-// the call is up. Wake must not block; it says that the call's state has changed.
+// the call is up. Wake must not block; it says that the call's state has changed. Pending, which must not block either,
+// tells whether the client's end has come, or what spoils the call, that the client side has had no time to read yet.
 type Client interface {
 	Pass(p []byte) error
 	Close(how Ending)
 	Wake()
+	Pending() bool
 }
 
 // Remote is the server side's end of an attempt. Close and Wake must not block. Wake says that the call is
@@ -147,9 +149,11 @@
 
 	attempt  Attempt
 	sends    int
-	out      bool // an attempt is out: its end has not been told
-	begun    bool // its first byte may have been written
-	mayRun   bool // some attempt ended without proof that it never ran
+	out      bool    // an attempt is out: its end has not been told
+	begun    bool    // its first byte may have been written
+	mayRun   bool    // some attempt ended without proof that it never ran
+	began    float64 // when the latest attempt's first byte was let go
+	ranAt    float64 // the same of the first attempt that may have run
 	canceled bool
 	moving   bool
 	silent   bool
@@ -203,7 +207,7 @@
 	case c.double():
 		c.end(Answer{Kind: Failed})
 	case x.refusing():
-		c.end(x.elsewhere())
+		c.end(x.advised(x.elsewhere()))
 	case a.Claim != nil && a.Claim.Wait():
 		c.state = Claiming
 	default:
@@ -321,7 +325,7 @@
 	case c.state != Claiming:
 		return false
 	case c.x.refusing():
-		c.end(c.x.elsewhere())
+		c.end(c.x.advised(c.x.elsewhere()))
 		return false
 	}
 	c.state = Held
@@ -534,17 +538,22 @@
 
 // Begin is asked just before the attempt's first byte is written. It is false if the server has begun to
 // drain meanwhile (rule 3: half a second after the news nothing new may go there, and a dial can take that
-// long), or if the attempt is wanted no more: then nothing may be written.
+// long), if the attempt is wanted no more, if the client has gone (its side may have had no time to read that), or if
+// the time in which servers know a repeated request again is over: then nothing may be written.
 func (c *Call) Begin(no int) bool {
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
 	if c.state != Trying || c.attempt.No != no || c.canceled || c.x.Clock.Now() >= c.attempt.Until {
 		return false
 	}
-	if !c.resumed && c.attempt.listed().mode != decide.Ready {
+	if !c.resumed && c.attempt.listed().mode != decide.Ready || c.client.Pending() {
 		return false
 	}
-	c.begun = true
+	if class := &c.x.site.Settings.Classes[c.Class]; c.mayRun && class.Effect == decide.Keyed &&
+		c.x.Clock.Now()-c.ranAt >= Millis(class.Window) {
+		return false
+	}
+	c.begun, c.began = true, c.x.Clock.Now()
 	c.x.figures.add(c.x.figures.sends, c.Class)
 	return true
 }
@@ -643,7 +652,9 @@
 	if (c.canceled || c.state == Ended) && !status.NeverRan() { // whatever else it met, it was called off
 		status = decide.Cancelled
 	}
-	c.mayRun = c.mayRun || !status.NeverRan()
+	if !c.mayRun && !status.NeverRan() {
+		c.mayRun, c.ranAt = true, c.began
+	}
 	switch c.state {
 	case Trying:
 		c.state = Held
--- a/internal/memory/exchange_test.go
+++ b/internal/memory/exchange_test.go
@@ -14,6 +14,7 @@
 	probes int
 	closed int
 	woken  int
+	gone   bool // the client's end has come, and nobody has read it
 }
 
 func (s *side) Try(_ *Call, a Attempt) { s.tries = append(s.tries, a) }
@@ -24,6 +25,7 @@
 func (s *side) Pass([]byte) error { return nil }
 func (s *side) Close(Ending)      { s.closed++ }
 func (s *side) Wake()             { s.woken++ }
+func (s *side) Pending() bool     { return s.gone }
 
 // model is what a request's state machine is meant to be: plain values, no locks, no channels.
 type model struct {
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -20,6 +20,7 @@
 func (nobody) Probe(memory.Server, func(decide.Status, decide.Report)) {}
 func (nobody) Pass([]byte) error                                       { return nil }
 func (nobody) Close(memory.Ending)                                     {}
+func (n nobody) Pending() bool                                         { return false }
 func (n nobody) Wake()                                                 {}
 
 // relay is a Service with an Exchange, without sockets but for the claim service's.
--- a/internal/wire/gate/gate.go
+++ b/internal/wire/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/memory"
+	"capersail/internal/wire/link"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// are being told no, come and go there. They push one another out, the oldest first.
 	sparePart  = 1.0 / 8
 	leastSpare = 8
+	// MostEvicted bounds the idle connections that have been told to make room and have not yet; beyond it nothing is
+	// accepted. Each takes no longer than its goroutine takes to look once at what has come.
+	MostEvicted = 8
 	// complaints is how many log lines a second clients' faults may cause.
 	complaints = 5
 )
@@ -36,16 +40,20 @@
 	// Log is for clients' faults; it is thinned out, as a client must not write the log at full speed.
 	Log zerolog.Logger
 
-	mu     sync.Mutex
-	room   int
-	held   int
-	placed int       // of those held, the ones of requests
-	idle   list.List // of *Pass without a request, or with their answer; the oldest first
+	mu      sync.Mutex
+	room    int
+	held    int
+	placed  int       // of those held, the ones of requests
+	idle    list.List // of *Pass without a request, or with their answer; the oldest first
+	evicted int       // of those held, the ones that make room
+	freed   sync.Cond // one of them has
+	ending  bool      // whoever brings no request now is sent away
 }
 
 // New returns a gate for so many descriptors.
 func New(clock *memory.Clock, room int, log zerolog.Logger) *Gate {
 	g := &Gate{Clock: clock, Log: log.Sample(&zerolog.BurstSampler{Burst: complaints, Period: time.Second})}
+	g.freed.L = &g.mu
 	g.SetRoom(room)
 	return g
 }
@@ -59,19 +67,25 @@
 
 // Pass is one client's connection, as the gate counts it.
 type Pass struct {
-	Conn  net.Conn
+	End   *link.End
 	Until float64 // when it must have brought its request
 
-	g      *Gate
-	place  *list.Element // among the idle
-	client bool          // its own descriptor is counted
-	asked  bool          // and counts as a request's
-	server bool          // that of its connection to a server is counted
+	g       *Gate
+	place   *list.Element // among the idle
+	client  bool          // its own descriptor is counted
+	asked   bool          // and counts as a request's
+	evicted bool          // and is wanted
+	server  bool          // that of its connection to a server is counted
 }
 
 // Serve accepts until the listener is closed, and gives each connection to serve in a goroutine of its own.
 func (g *Gate) Serve(l net.Listener, serve func(*Pass)) error {
 	for {
+		g.mu.Lock()
+		for g.evicted >= MostEvicted {
+			g.freed.Wait()
+		}
+		g.mu.Unlock()
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -101,34 +115,68 @@
 func (g *Gate) enter(conn net.Conn) *Pass {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.held >= g.room {
+	if g.held-g.evicted >= g.room {
 		g.evict()
 	}
-	p := &Pass{Conn: conn, Until: g.Clock.Now() + RequestWithin, g: g, client: true}
+	p := &Pass{End: &link.End{Conn: conn, Clock: g.Clock}, Until: g.Clock.Now() + RequestWithin, g: g, client: true}
 	p.place = g.idle.PushBack(p)
-	g.held++
+	if g.held++; g.ending {
+		p.End.Wake()
+	}
 	return p
 }
 
-// evict closes the oldest idle connection, if there is one. The caller holds the lock.
+// evict has the oldest idle connection closed, if there is one. Its own goroutine does it, as it alone can tell whether the
+// last line has come meanwhile: closed from here, over a line that nobody had read, the client would have a reset for an
+// answer. The caller holds the lock.
 func (g *Gate) evict() {
 	if e := g.idle.Front(); e != nil {
 		p := e.Value.(*Pass)
-		p.Conn.Close()
-		p.closed()
+		g.idle.Remove(e)
+		p.evicted = true
+		g.evicted++
+		p.End.Hurry()
+	}
+}
+
+// End sends everyone away who has brought no request; who brings one now is served as ever. For a relay that leaves, and has
+// no more to do than this.
+func (g *Gate) End() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ending = true
+	for e := g.idle.Front(); e != nil; e = e.Next() {
+		e.Value.(*Pass).End.Wake()
 	}
 }
 
+// Held is how many descriptors clients hold, and their connections to servers.
+func (g *Gate) Held() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
 // closed takes the client's own descriptor out of the count. The caller holds the lock.
 func (p *Pass) closed() {
 	p.rest()
 	if p.client {
 		p.client = false
 		p.g.held--
+		p.stay()
 		p.g.idle.Remove(p.place)
 	}
 }
 
+// stay takes back that the connection was to make room. The caller holds the lock.
+func (p *Pass) stay() {
+	if p.evicted {
+		p.evicted = false
+		p.g.evicted--
+		p.g.freed.Signal()
+	}
+}
+
 // rest puts a request's connection among the idle. The caller holds the lock.
 func (p *Pass) rest() {
 	if p.asked {
@@ -139,19 +187,20 @@
 }
 
 // Ask takes the second descriptor that a request needs; false if requests have all they may. From then on
-// the connection is not pushed out.
+// the connection is not pushed out, nor if it was to make room.
 func (p *Pass) Ask() bool {
 	g := p.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !p.client || g.placed+2 > g.room-max(leastSpare, int(float64(g.room)*sparePart)) {
+	if g.placed+2 > g.room-max(leastSpare, int(float64(g.room)*sparePart)) {
 		return false
 	}
 	g.held++
 	g.placed += 2
 	p.asked, p.server = true, true
 	g.idle.Remove(p.place)
-	for g.held > g.room && g.idle.Len() > 0 {
+	p.stay()
+	for g.held-g.evicted > g.room && g.idle.Len() > 0 {
 		g.evict()
 	}
 	return true
--- a/internal/wire/gate/gate_test.go
+++ b/internal/wire/gate/gate_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -16,6 +17,7 @@
 	conn   *conn
 	client bool // its descriptor is held
 	asked  bool // and may not be taken away
+	wanted bool // and is to make room
 	server bool
 }
 
@@ -24,10 +26,12 @@
 	closed bool
 }
 
-func (c *conn) Close() error { c.closed = true; return nil }
+func (c *conn) Close() error                { c.closed = true; return nil }
+func (c *conn) SetDeadline(time.Time) error { return nil }
 
 // FuzzGate plays random steps to the passes of a small gate and checks its counts against a model: what is held
-// stays within the room, the oldest idle connection makes way, and a request's never does.
+// stays within the room but for those that are making way, the oldest idle connection makes way, and a request's never does.
+// The gate itself closes none: only the goroutine that reads a connection can tell whether its last line has come.
 func FuzzGate(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 0, 1, 0, 1, 1, 0, 0, 2, 0, 3, 0, 4, 0, 0, 0})
 	f.Add([]byte{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 9, 1, 10, 4, 9, 0, 0, 0, 0})
@@ -36,8 +40,14 @@
 		g := New(memory.NewSetClock(), room, zerolog.Nop())
 		var all []*visitor
 		var idle []*visitor
-		held, placed := 0, 0
+		held, placed, wanted := 0, 0, 0
 		out := func(v *visitor) { idle = slices.DeleteFunc(idle, func(o *visitor) bool { return o == v }) }
+		stay := func(v *visitor) {
+			if v.wanted {
+				v.wanted = false
+				wanted--
+			}
+		}
 		free := func(v *visitor) {
 			if v.asked {
 				v.asked = false
@@ -47,12 +57,19 @@
 				v.client = false
 				held--
 				out(v)
+				stay(v)
 			}
 		}
+		want := func() {
+			v := idle[0]
+			out(v)
+			v.wanted = true
+			wanted++
+		}
 		for ; len(steps) >= 2; steps = steps[2:] {
 			if steps[0]%5 == 0 {
-				if held >= room && len(idle) > 0 {
-					free(idle[0])
+				if held-wanted >= room && len(idle) > 0 {
+					want()
 				}
 				c := &conn{}
 				v := &visitor{pass: g.enter(c), conn: c, client: true}
@@ -62,19 +79,20 @@
 				v := all[int(steps[1])%len(all)]
 				switch steps[0] % 5 {
 				case 1:
-					if v.asked || v.server { // a connection asks once
+					if v.asked || v.server || !v.client { // a connection asks once, and before it is closed
 						continue
 					}
-					want := v.client && placed+2 <= room-leastSpare
-					if got := v.pass.Ask(); got != want {
+					may := placed+2 <= room-leastSpare
+					if got := v.pass.Ask(); got != may {
 						t.Fatalf("ask: %v with %d placed of %+v", got, placed, v)
 					}
-					if want {
+					if may {
 						v.asked, v.server = true, true
 						held, placed = held+1, placed+2
 						out(v)
-						if held > room {
-							free(idle[0])
+						stay(v)
+						for held-wanted > room && len(idle) > 0 {
+							want()
 						}
 					}
 				case 2:
@@ -102,14 +120,15 @@
 					}
 				}
 			}
-			if g.held != held || g.placed != placed || g.idle.Len() != len(idle) {
-				t.Fatalf("held %d, placed %d, idle %d; want %d, %d, %d", g.held, g.placed, g.idle.Len(), held, placed, len(idle))
+			if g.held != held || g.placed != placed || g.idle.Len() != len(idle) || g.evicted != wanted {
+				t.Fatalf("held %d, placed %d, idle %d, making way %d; want %d, %d, %d, %d", g.held, g.placed, g.idle.Len(), g.evicted, held, placed,
+					len(idle), wanted)
 			}
-			if held > room+1 {
-				t.Fatalf("%d held of %d", held, room)
+			if held-wanted > room+1 {
+				t.Fatalf("%d held of %d, %d of them make way", held, room, wanted)
 			}
 			for i, v := range all {
-				if v.client != v.pass.client || v.asked && v.conn.closed {
+				if v.client != v.pass.client || v.wanted != v.pass.evicted || v.wanted && !v.pass.End.Hurried() || v.conn.closed {
 					t.Fatalf("visitor %d: %+v, closed %v", i, v, v.conn.closed)
 				}
 			}
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -36,6 +36,9 @@
 	Stop   func() // ends the dial, if there is one
 	woken  bool
 	closed bool
+	// hurried is closed once the connection's descriptor is wanted; nil until somebody needs to know.
+	hurried chan struct{}
+	hurry   bool
 }
 
 // Attach gives the end its connection once it is dialled; false if it was closed meanwhile.
@@ -83,6 +86,95 @@
 	}
 }
 
+// Hurry makes the goroutine that reads the connection end it without a wait, even one for the peer's end.
+func (e *End) Hurry() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hurry {
+		return
+	}
+	e.woken, e.hurry = true, true
+	close(e.hurriedly())
+	if e.Conn != nil {
+		e.Conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// Hurried tells whether Hurry was called.
+func (e *End) Hurried() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hurry
+}
+
+// hurriedly is the channel that Hurry closes. The caller holds the lock.
+func (e *End) hurriedly() chan struct{} {
+	if e.hurried == nil {
+		e.hurried = make(chan struct{})
+	}
+	return e.hurried
+}
+
+// Take returns what has come and not been read, up to a line's length, without a wait. A read whose deadline has passed
+// does not look: a last line that came before a close would be thrown away unseen. Every later read returns at once.
+func (e *End) Take() []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Conn.SetReadDeadline(time.Unix(1, 0))
+	p := make([]byte, 4096)
+	n := e.raw(func(fd int) (int, error) { return syscall.Read(fd, p) })
+	return p[:max(n, 0)]
+}
+
+// Pending tells whether the peer's end, or bytes of the peer, have come that nobody has read yet, without a wait.
+func (e *End) Pending() bool { return e.peek() >= 0 }
+
+// Ended is Pending for a peer that may say something at any time: only its end counts.
+func (e *End) Ended() bool { return e.peek() == 0 }
+
+// peek returns how much can be read at once, 0 at the peer's end, and a negative number if nothing has come.
+func (e *End) peek() int {
+	p := make([]byte, 1)
+	return e.raw(func(fd int) (int, error) {
+		n, _, err := syscall.Recvfrom(fd, p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.ECONNRESET) {
+			return 0, nil
+		}
+		return n, err
+	})
+}
+
+// raw makes one call on the connection's descriptor, which may not wait. It is negative where that failed, or there is none.
+func (e *End) raw(call func(fd int) (int, error)) int {
+	conn := e.Conn
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return -1
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	n := -1
+	if rc.Control(func(fd uintptr) {
+		for {
+			var err error
+			if n, err = call(int(fd)); !errors.Is(err, syscall.EINTR) {
+				if err != nil {
+					n = -1
+				}
+				return
+			}
+		}
+	}) != nil {
+		return -1
+	}
+	return n
+}
+
 // Pass writes to the connection.
 func (e *End) Pass(p []byte) error {
 	e.Conn.SetWriteDeadline(e.Clock.Wall(e.Clock.Now() + WriteWithin))
@@ -107,7 +199,9 @@
 	case e.Conn == nil:
 	case ok && how == memory.Clean:
 		half.CloseWrite()
-		e.Conn.SetReadDeadline(e.Clock.Wall(e.Clock.Now() + lingerFor))
+		if !e.hurry {
+			e.Conn.SetReadDeadline(e.Clock.Wall(e.Clock.Now() + lingerFor))
+		}
 	default:
 		raw := e.Conn
 		if t, ok := raw.(*tls.Conn); ok {
@@ -120,13 +214,22 @@
 	}
 }
 
-// Drain throws away what still comes, until the peer's end or the bounded wait, then closes for good. A peer
+// Drain throws away what still comes, until the peer's end, the bounded wait or Hurry, then closes for good. A peer
 // that goes on sending is left to its full buffers until then, so that it can read the last line first.
 func (e *End) Drain() {
 	began := e.Clock.Now()
 	e.Close(memory.Clean)
 	if n, err := io.Copy(io.Discard, io.LimitReader(e.Conn, lingerBytes)); n == lingerBytes && err == nil {
-		<-e.Clock.After(began + lingerFor - e.Clock.Now())
+		e.mu.Lock()
+		hurried := e.hurriedly()
+		e.mu.Unlock()
+		select {
+		case <-e.Clock.After(began + lingerFor - e.Clock.Now()):
+		case <-hurried:
+		}
+	}
+	if e.Hurried() { // a close over unread bytes would send a reset, which may overtake the last line
+		e.Take()
 	}
 	e.Conn.Close()
 }
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -30,8 +30,8 @@
 
 // serve speaks with one client until its connection is closed, and that to its server too.
 func (f *Front) serve(p *gate.Pass) {
-	e := &link.End{Conn: p.Conn, Clock: f.X.Clock}
-	in := newLines(p.Conn)
+	e := p.End
+	in := newLines(e.Conn)
 	e.Until(p.Until)
 	call := f.first(p, e, in)
 	if call != nil {
@@ -48,8 +48,14 @@
 // first takes a connection up to its request. Nil means that it has its answer, or that none is due: it said
 // nothing in time, or had to make room for others.
 func (f *Front) first(p *gate.Pass, e *link.End, in *lines) *memory.Call {
+	last := false // what has come is all that counts: its time is up, its place is wanted, or the relay leaves
 	for range maxPings {
 		line, err := in.next()
+		if link.TimedOut(err) && !last {
+			last = true
+			in.feed(e.Take())
+			line, err = in.next()
+		}
 		if err != nil && !errors.Is(err, errTooLong) {
 			return nil
 		}
--- a/internal/wire/platform/line.go
+++ b/internal/wire/platform/line.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -23,11 +24,19 @@
 
 // lines reads lines from a connection. A read that a deadline cuts short loses nothing.
 type lines struct {
+	conn  net.Conn
 	r     *bufio.Reader
 	carry []byte
 }
 
-func newLines(conn net.Conn) *lines { return &lines{r: bufio.NewReaderSize(conn, maxLine)} }
+func newLines(conn net.Conn) *lines { return &lines{conn: conn, r: bufio.NewReaderSize(conn, maxLine)} }
+
+// feed puts bytes that were read past the lines in front of what comes next. All that was buffered has been returned.
+func (l *lines) feed(p []byte) {
+	if len(p) > 0 {
+		l.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(p), l.conn), maxLine)
+	}
+}
 
 // next returns the next line, its end included, valid until the next call. With errTooLong it returns the
 // part of a longer one that has come so far; the rest follows as if it were a line.
--- a/internal/wire/xmpp/client.go
+++ b/internal/wire/xmpp/client.go
@@ -36,7 +36,7 @@
 
 // serve speaks with one client until its connection is closed, and that to its server too.
 func (f *Front) serve(p *gate.Pass) {
-	e := &link.End{Conn: p.Conn, Clock: f.X.Clock}
+	e := p.End
 	st := newStream(e)
 	e.Until(p.Until)
 	r, host, err := f.header(e, st, p.Until)
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -222,4 +222,7 @@
 	c.End.Wake()
 }
 
+// Pending is the client's end only: it may say something at any time.
+func (c clientEnd) Pending() bool { return c.End.Ended() }
+
 var _ memory.Client = clientEnd{}
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -104,6 +104,7 @@
 func (waiter) Pass([]byte) error   { return nil }
 func (waiter) Close(memory.Ending) {}
 func (waiter) Wake()               {}
+func (waiter) Pending() bool       { return false }
 
 // Dial is for grpc.WithContextDialer. The target is not looked at: the core knows where the servers are.
 func (d *Dialer) Dial(ctx context.Context, _ string) (net.Conn, error) {
