Force the bad orders at closes, leaves, gone clients and late repeats in tests

Tests with real connections that make the order happen: a request unread when its connection is ended (time up, place wanted, leaving), a leave over connections whose goroutine has had no processor time, a client that has gone and whose side never reads it, a repeat that a dial brings up after the window.

--- a/internal/memory/exchange_test.go
+++ b/internal/memory/exchange_test.go
@@ -68,6 +68,7 @@
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 11, 0, 0, 3, 0, 0, 5, 0, 0, 10, 0, 9, 12, 0, 0, 13, 0, 0, 0, 2, 0})
 	f.Add([]byte{0, 0, 1, 1, 0, 0, 0, 1, 1, 14, 0, 0, 0, 2, 1, 5, 0, 0, 0, 3, 1}) // a name that stands, is spoilt, is free
 	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 14, 0, 0, 15, 0, 0, 5, 0, 0})
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 20, 0, 0, 3, 0, 0, 5, 0, 7, 1, 0, 1, 2, 0, 0, 3, 0, 0})    // its client has gone, unread
 	f.Add([]byte{0, 0, 128, 1, 0, 0, 16, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 18, 0, 0, 5, 0, 0}) // claimed, up, lapsed
 	f.Add([]byte{0, 0, 128, 6, 0, 0, 16, 0, 0, 0, 1, 128, 17, 1, 0, 0, 2, 128, 13, 0, 0, 16, 2, 0})    // left, refused, leaving
 	f.Add([]byte{0, 1, 129, 16, 1, 0, 1, 1, 0, 2, 1, 0, 3, 1, 0, 18, 1, 0, 4, 1, 0, 5, 1, 3})          // lapsed while it may run
@@ -84,7 +85,7 @@
 		calls := map[int]*model{}
 		leaving := false
 		for ; len(steps) >= 3; steps = steps[3:] {
-			op, who, arg := steps[0]%20, int(steps[1]%4), int(steps[2])
+			op, who, arg := steps[0]%21, int(steps[1]%4), int(steps[2])
 			m, now := calls[who], clock.Now()
 			if m == nil && op != 0 && op != 9 && op != 10 && op != 13 {
 				continue
@@ -130,10 +131,11 @@
 				}
 				m.attached = m.attached || live
 			case 3:
-				if got, want := m.call.Begin(m.sends-1), live && modes[m.to] == decide.Ready && now < m.until; got != want {
+				if got, want := m.call.Begin(m.sends-1), live && modes[m.to] == decide.Ready && now < m.until && !m.client.gone; got != want {
 					t.Fatalf("begin in %+v: %v", m, got)
+				} else {
+					m.begun = m.begun || want
 				}
-				m.begun = m.begun || live && modes[m.to] == decide.Ready && now < m.until
 			case 4:
 				if !m.attached && live { // no side says up before it has attached
 					continue
@@ -220,6 +222,8 @@
 					}
 					m.state = Ended
 				}
+			case 20:
+				m.client.gone = true
 			case 19:
 				if m.call.Reject(m.sends-1, "no"); m.state == Trying {
 					m.state, m.answer = Ended, Failed
@@ -388,3 +392,34 @@
 		t.Errorf("1.2346 ms: %v", got)
 	}
 }
+
+// A repeat is let go only within the window of repeats, from when the first attempt that may have run was let go: the module
+// reckons by when it wanted a send, and a dial can take up the rest. What never ran opens no window.
+func TestNoRepeatAfterItsWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		first decide.Status
+		dial  float64 // ms until the second connection is up
+		want  bool
+	}{
+		"inside":         {decide.Reset, 99, true},
+		"over":           {decide.Reset, 101, false},
+		"none has run":   {decide.Full, 101, true},
+		"none has begun": {decide.ConnectFailed, 101, true},
+	} {
+		clock, wire := NewSetClock(), &side{}
+		x := NewExchange(&Site{Settings: decide.Settings{MaxAttempts: 3, Classes: []decide.ClassInfo{{Effect: decide.Keyed, Window: Duration(100)}}}}, clock, wire)
+		x.Members(decide.Whole, []Listed{{ID: "a", Mode: decide.Ready}, {ID: "b", Mode: decide.Ready}})
+		call := x.Open(Ask{Left: 5000}, &side{})
+		x.send(call.ID, 0, 0, nil)
+		clock.Set(clock.Now() + 1000) // its own dial counts for nothing
+		if !call.Attach(0, &side{}) || !call.Begin(0) {
+			t.Fatal("the first attempt is not let go")
+		}
+		call.Over(0, c.first, decide.NoReport)
+		x.send(call.ID, 1, 0, nil)
+		clock.Set(clock.Now() + c.dial)
+		if got := call.Attach(1, &side{}) && call.Begin(1); got != c.want {
+			t.Errorf("%s: let go %v", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/link/link_test.go
@@ -0,0 +1,100 @@
+package link
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"capersail/internal/memory"
+)
+
+// pair is two ends of one TCP connection.
+func pair(t *testing.T) (*End, *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	own, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close(); own.Close() })
+	return &End{Conn: own, Clock: memory.NewClock()}, peer.(*net.TCPConn)
+}
+
+// await waits until something has come, which loopback brings in its own time.
+func await(t *testing.T, e *End) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !e.Pending(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("nothing comes")
+		}
+	}
+}
+
+// What has come and nobody has read is seen without a wait, whatever the read deadline, and is not consumed by a look.
+func TestPending(t *testing.T) {
+	for name, c := range map[string]struct {
+		does  func(peer *net.TCPConn)
+		ended bool
+	}{
+		"bytes":             {func(p *net.TCPConn) { p.Write([]byte("x")) }, false},
+		"an end":            {func(p *net.TCPConn) { p.Close() }, true},
+		"a half-close":      {func(p *net.TCPConn) { p.CloseWrite() }, true},
+		"a reset":           {func(p *net.TCPConn) { p.SetLinger(0); p.Close() }, true},
+		"bytes, then a end": {func(p *net.TCPConn) { p.Write([]byte("x")); p.Close() }, false},
+	} {
+		e, peer := pair(t)
+		if e.Pending() || e.Ended() {
+			t.Errorf("%s: before it", name)
+		}
+		c.does(peer)
+		e.Wake()
+		await(t, e)
+		if !e.Pending() || e.Ended() != c.ended {
+			t.Errorf("%s: pending %v, ended %v", name, e.Pending(), e.Ended())
+		}
+	}
+}
+
+// A read whose deadline has passed does not look, so what came before it would be lost: Take returns it.
+func TestTakeAfterTheDeadline(t *testing.T) {
+	e, peer := pair(t)
+	peer.Write([]byte("line\r\n"))
+	await(t, e)
+	e.Until(e.Clock.Now() - 1)
+	if n, err := e.Conn.Read(make([]byte, 9)); n != 0 || !TimedOut(err) {
+		t.Fatalf("the premise: %d, %v", n, err)
+	}
+	if got := string(e.Take()); got != "line\r\n" {
+		t.Errorf("%q", got)
+	}
+	if got := e.Take(); len(got) != 0 {
+		t.Errorf("%q, with nothing there", got)
+	}
+}
+
+// Hurry ends a linger at once, also one behind a peer that sends without end, and the last line written arrives.
+func TestHurryEndsALinger(t *testing.T) {
+	for name, flood := range map[string]int{"silent": 0, "sends without end": 4 << 20} {
+		e, peer := pair(t)
+		e.Pass([]byte("BUSY\r\n"))
+		go peer.Write(make([]byte, flood))
+		done := make(chan struct{})
+		go func() { defer close(done); e.Drain() }()
+		line := make([]byte, 6)
+		if _, err := io.ReadFull(peer, line); err != nil || string(line) != "BUSY\r\n" {
+			t.Errorf("%s: %q, %v", name, line, err)
+		}
+		e.Hurry()
+		e.Hurry()
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/wire/platform/moments_test.go
@@ -0,0 +1,96 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/decide"
+	"capersail/internal/memory"
+	"capersail/internal/wire/gate"
+	"capersail/internal/wire/link"
+)
+
+// awaitPending waits until a peer's bytes or end have come, which loopback brings in its own time.
+func awaitPending(t *testing.T, e *link.End) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !e.Pending(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("nothing comes")
+		}
+	}
+}
+
+// A request that has come when its connection is to be ended, and that nobody has read yet, is served: the bad order is made by
+// ending the connection first and reading it after. One that is not whole by then gets a clean end, not a reset.
+func TestRequestAtTheEndOfItsConnection(t *testing.T) {
+	for name, end := range map[string]func(*gate.Pass){
+		"its time is up":      func(p *gate.Pass) { p.Until = 1 },
+		"its place is wanted": func(p *gate.Pass) { p.End.Hurry() },
+		"the relay leaves":    func(p *gate.Pass) { p.End.Wake() },
+	} {
+		for line, want := range map[string]string{open + "\r\n": "UP a1", "PING\r\n": "PONG", open: "end", "": "end"} {
+			_, x, _ := serve(t, "UP")
+			site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{Classes: []decide.ClassInfo{{}}}}
+			f := &Front{X: x, Site: site, Gate: gate.New(x.Clock, 24, zerolog.Nop())}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			go f.Gate.Serve(l, func(p *gate.Pass) {
+				if line != "" {
+					awaitPending(t, p.End)
+				}
+				end(p)
+				f.serve(p)
+			})
+			c := connect(t, l.Addr().String())
+			fmt.Fprint(c, line)
+			if got := c.next(); got != want {
+				t.Errorf("%s, %q: %q, want %q", name, line, got, want)
+			}
+		}
+	}
+}
+
+// Nothing is sent for a client that has gone, though its side has had no time to read that: here nobody ever reads it.
+func TestNothingIsSentForWhoHasGone(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"a close":      func(c *net.TCPConn) { c.Close() },
+		"a half-close": func(c *net.TCPConn) { c.CloseWrite() },
+		"a reset":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"more lines":   func(c *net.TCPConn) { fmt.Fprint(c, "M 1\r\n"); c.Close() },
+	} {
+		_, x, servers := serve(t, "UP")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		own, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { own.Close() })
+		e := &link.End{Conn: own, Clock: x.Clock}
+		leave(client.(*net.TCPConn))
+		awaitPending(t, e)
+		o, err := parseOpening([]byte(open))
+		if err != nil {
+			t.Fatal(err)
+		}
+		call := x.Open(memory.Ask{Name: "a1", Left: 500, Payload: o}, e)
+		<-call.Settled()
+		if n := len(servers[0].Firsts); n > 0 {
+			t.Errorf("%s: %d first lines were sent", name, n)
+		}
+	}
+}
