End the back-off of calls to discovery at 4.5 s in large fleets, and send nothing to who says no

Term 1 for a fleet of 300: the sum is 7.5 s of back-off and the answer, over 6 s; discovery works through 300 calls in 5.1 to 8.9 s, so not all of them can have news in 6 s at all. So the news goes first, at 4.5 s, and what is late then is held by the servers' own word: anyone() sent to a server that had answered its probe with an error, as one does that drains, where nobody else was left; never now (TestNothingGoesToOneThatSaysNo fails without it: 21 sends).

--- a/decide/blind_test.go
+++ b/decide/blind_test.go
@@ -73,3 +73,32 @@
 		t.Errorf("%d connections in 4 s to a server that has just started, where the others hold 100 each", sent)
 	}
 }
+
+// A backend that answers probes with an error drains, though the list may tell so only seconds later: nothing goes there, not
+// even where nobody else is left. One that answers nothing may be slow, and is the last resort.
+func TestNothingGoesToOneThatSaysNo(t *testing.T) {
+	for status, want := range map[Status]int{Errored: 0, TimedOut: 20} {
+		r := newRelay(t, settings(), 3, 2)
+		sent := 0
+		for id := RequestID(1); id <= 21; id++ {
+			acts := r.pass(1500 * ms).do(ask(id))
+			for i := 0; i < len(acts); i++ {
+				switch a := acts[i].(type) {
+				case Probe:
+					acts = append(acts, r.do(Probed{Backend: a.Backend, Status: status, Took: 9 * ms, Report: NoReport})...)
+				case Timer:
+					acts = append(acts, r.pass(a.After).do(Alarm{Token: a.Token})...)
+				case Send:
+					sent++
+					r.do(Outcome{ID: a.ID, Backend: a.Backend, Status: Full, Closed: true, Report: NoReport})
+				}
+				if i > 200 {
+					break
+				}
+			}
+		}
+		if sent < want || want == 0 && sent > 0 {
+			t.Errorf("%v to each probe: %d sends", status, sent)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,7 +100,7 @@
 func (b *Balancer) members(e Members) {
 	if e.Kind == Failed {
 		b.asked++
-		least := max(b.set.Tick*100, b.turns())
+		least := max(b.set.Tick*100, min(b.turns(), askAgain*3/2)) // beyond 63 relays news goes before turns
 		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(askAgain, least)))
 		return
 	}
@@ -468,7 +468,7 @@
 }
 
 // anyone is the gentle fallback when no reading is left: a backend at random, first at home and well,
-// then anywhere and well, then any warm one; so many draws would overspend a cold one's budget.
+// then anywhere and well, then any warm one that says not no; so many draws would overspend a cold one.
 func (b *Balancer) anyone(r *request) Backend {
 	for round := range 3 {
 		for range 2 * probesPerPick {
@@ -480,7 +480,7 @@
 				continue
 			}
 			id := b.zones[zone][b.rng.IntN(len(b.zones[zone]))]
-			if s := &b.fleet[id]; (round == 2 || !s.bad) && b.warmth(s) == 1 && b.allowed(r, id, s) {
+			if s := &b.fleet[id]; (!s.bad || round == 2 && !s.erring()) && b.warmth(s) == 1 && b.allowed(r, id, s) {
 				return id
 			}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -134,6 +134,9 @@
 	s.coldAt, s.errs, s.readAt = at, 0, -1
 }
 
+// erring tells whether it answered the latest probe with an error, as one does that drains before the list tells.
+func (s *server) erring() bool { return s.silent > s.mute }
+
 // settle drops the placements that a reading counts: those made before it was taken.
 func (s *server) settle(taken time.Duration) {
 	for _, list := range []*[]time.Duration{&s.placed, &s.others, &s.left} {
