Hold what one relay sends a cold server to its part, counted over the window

Cause: coldBudget spreads the budget by a rate that is smoothed over the window (rate(), state.go), so a surge is known too late and the first second gets two to three times the part; and a process just started does not know what its life before it sent. Now own sends of the window are counted, and the part grows with the time since the start.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// turns is how long all relays take to call discovery, one after the other. It works through calls in turn,
-// those given up too, so calls that come faster are answered 503 for as long as they keep coming.
+// turns is how long all relays take to call discovery, which works through calls in turn, those given up too.
 func (b *Balancer) turns() time.Duration {
 	return min(b.set.Rules.AskWithin/callsAWhile*time.Duration(b.set.Relays), b.set.Rules.AskWithin*3/4)
 }
@@ -392,7 +391,8 @@
 		among = b.listed()
 	}
 	met := b.rate() * min(1, probesPerPick/float64(among))
-	return b.rng.Float64()*met < budget*b.share()
+	own, since := budget*b.share(), min(b.set.Rules.FallFor, b.now-b.began) // an earlier life may have sent too
+	return b.rng.Float64()*met < own && b.lately(s) < 1+own*since.Seconds() // a surge is known too late by rate
 }
 
 // warmth is the part of its capacity that a backend has at least.
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,6 +42,7 @@
 	readAt    time.Duration // when that came, -1 if it may not be used
 	pooled    bool
 	probeTill time.Duration   // a probe is under way, or lost, until then
+	sent      []time.Duration // when, own attempts of the last while, as rule 4 counts it
 	placed    []time.Duration // when, own placements that the reading may not count yet
 	others    []time.Duration // the same of other relays', where they tell
 	held      []RequestID     // own open connections and attempts
@@ -308,6 +309,16 @@
 	s := b.server(r.backend)
 	s.held = append(s.held, r.ID)
 	b.held++
+	if r.phase == sent {
+		b.lately(s)
+		s.sent = append(s.sent, b.now)
+	}
+}
+
+// lately is how many attempts this relay has sent a backend within the window of rule 4.
+func (b *Balancer) lately(s *server) float64 {
+	s.sent = slices.DeleteFunc(s.sent, func(at time.Duration) bool { return b.now-at >= b.set.Rules.FallFor })
+	return float64(len(s.sent))
 }
 
 func (b *Balancer) unhold(r *request) {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -405,8 +405,8 @@
 	}
 }
 
-// spend counts what a cold server is sent, as the operators' page on large fleets has the rule: within a window, against
-// a multiple of what fills it over its warm-up, with three roots and three of slack.
+// spend counts what a cold server is sent, as the operators' stricter acceptance has the rule: within a window, against
+// a multiple of what fills it over its warm-up, with two roots and two put down to chance.
 func (f *Fleet) spend(s *Server) {
 	rules := f.set.Rules
 	cold := f.Now - s.Since
@@ -416,7 +416,7 @@
 	s.sent = append(s.sent, f.Now)
 	s.sent = slices.DeleteFunc(s.sent, func(at time.Duration) bool { return f.Now-at > rules.FallFor })
 	room := rules.FallMultiple * f.warmth(s) * rules.FallFor.Seconds() / (f.load * rules.Cold.Seconds())
-	room += 3*math.Sqrt(room) + 3
+	room += 2*math.Sqrt(room) + 2
 	f.Tally.Overrun = max(f.Tally.Overrun, float64(len(s.sent))/room)
 }
 
