--- a/decide/state.go
+++ b/decide/state.go
@@ -43,6 +43,7 @@
 	pooled    bool
 	probeTill time.Duration   // a probe is under way, or lost, until then
 	sent      []time.Duration // when, own attempts of the last while, as rule 4 counts it
+	asks      []time.Duration // when it was asked for as a cold one, of the last while
 	placed    []time.Duration // when, own placements that the reading may not count yet
 	others    []time.Duration // the same of other relays', where they tell
 	held      []RequestID     // own open connections and attempts
@@ -315,6 +316,13 @@
 	}
 }
 
+// others notes that a cold backend is asked for, and tells how many more times it was within the window of rule 4.
+func (b *Balancer) others(s *server) float64 {
+	s.asks = slices.DeleteFunc(s.asks, func(at time.Duration) bool { return b.now-at >= b.set.Rules.FallFor })
+	s.asks = append(s.asks, b.now)
+	return float64(len(s.asks) - 1)
+}
+
 // lately is how many attempts this relay has sent a backend within the window of rule 4.
 func (b *Balancer) lately(s *server) float64 {
 	s.sent = slices.DeleteFunc(s.sent, func(at time.Duration) bool { return b.now-at >= b.set.Rules.FallFor })
