--- a/cmd/capersail/main_test.go
+++ b/cmd/capersail/main_test.go
@@ -253,14 +253,15 @@
 // Bad configuration: one plain message that names the key, and exit 1.
 func TestBadConfiguration(t *testing.T) {
 	for key, change := range map[string]func(map[string]any){
-		"listen":           func(c map[string]any) { c["listen"] = "nowhere" },
-		"discovery":        func(c map[string]any) { c["discovery"] = 7 },
-		"seed":             func(c map[string]any) { c["seed"] = "no number" },
-		"limits.sockets":   func(c map[string]any) { c["limits"] = map[string]any{"sockets": -1} },
-		"limits.memory_mb": func(c map[string]any) { c["limits"] = map[string]any{"memory_mb": "64"} },
-		"settings":         func(c map[string]any) { delete(c, "settings") },
-		"settings.classes": func(c map[string]any) { c["settings"] = map[string]any{} },
-		"known":            func(c map[string]any) { c["known"] = map[string]any{"instances": 7} },
+		"listen":                         func(c map[string]any) { c["listen"] = "nowhere" },
+		"discovery":                      func(c map[string]any) { c["discovery"] = 7 },
+		"seed":                           func(c map[string]any) { c["seed"] = "no number" },
+		"limits.sockets":                 func(c map[string]any) { c["limits"] = map[string]any{"sockets": -1} },
+		"limits.sockets: 40 are too few": func(c map[string]any) { c["limits"] = map[string]any{"sockets": 40} },
+		"limits.memory_mb":               func(c map[string]any) { c["limits"] = map[string]any{"memory_mb": "64"} },
+		"settings":                       func(c map[string]any) { delete(c, "settings") },
+		"settings.classes":               func(c map[string]any) { c["settings"] = map[string]any{} },
+		"known":                          func(c map[string]any) { c["known"] = map[string]any{"instances": 7} },
 	} {
 		out, err := program(t, configure(t, change)).CombinedOutput()
 		exit, ok := err.(*exec.ExitError)
--- /dev/null
+++ b/cmd/capersail/moments_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"capersail/internal/standin"
+)
+
+// Idle clients take all the descriptors that a relay has while discovery is down: it goes on serving by the list that it has, makes
+// room for whoever asks, and follows discovery when that returns. The machine holds the process to 64 descriptors.
+func TestFullOfIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	address := freeAddress(t) // discovery's, where nobody is yet
+	s1, err := standin.NewTileServer("127.0.0.1:0", "UP")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s1.Close)
+	config := configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"], c["limits"] = "127.0.0.1:0", address, map[string]any{"sockets": 64}
+		c["known"] = json.RawMessage(`{"generation":1,"reset":true,"instances":[` + standin.Entry("s1", s1.Address, "Ready") + `]}`)
+	})
+	shell := exec.CommandContext(t.Context(), "/bin/sh", "-c", `ulimit -n 64 && exec "$0"`, os.Args[0])
+	shell.Env = append(os.Environ(), "CAPERSAIL_RUN=1", "LB_CONFIG="+config)
+	cmd, relay, said := startCmd(t, shell)
+	go func() {
+		for range said {
+		}
+	}()
+	idle := func(n int) {
+		for range n {
+			c, err := net.Dial("tcp", relay)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	ask := func(i int) string {
+		c := dial(t, relay)
+		defer c.Close()
+		fmt.Fprintf(c, "OPEN i%d 7f3a c=map-stream,t=acme,d=2000\r\n", i)
+		got, _ := c.in.ReadString('\n')
+		return strings.Fields(got + " -")[0]
+	}
+	idle(200)
+	for i := range 5 {
+		if got := ask(i); got != "UP" {
+			t.Errorf("request %d behind 200 idle clients was answered %q", i, got)
+		}
+		idle(20)
+	}
+	s2, err := standin.NewTileServer("127.0.0.1:0", "UP")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s2.Close)
+	d, err := standin.NewDiscovery(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Set("s2", s2.Address, "Ready") // and s1 is gone
+	for i, until := 100, time.Now().Add(20*time.Second); len(s2.Firsts) == 0; i++ {
+		idle(10)
+		ask(i)
+		if time.Now().After(until) {
+			t.Fatal("discovery's return was not found in 20 s")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// SIGTERM in the middle of a drain by hand, and a second one on top of it: who is open is moved, who rests or has sent half a line has
+// a clean end, and the program exits in order.
+func TestTermBesideADrain(t *testing.T) {
+	d, _ := stage(t, "s1")
+	admin := freeAddress(t)
+	cmd, relay, said := start(t, configure(t, func(c map[string]any) {
+		c["listen"], c["discovery"], c["admin"] = "127.0.0.1:0", d.Address, admin
+		c["known"] = json.RawMessage(d.Whole())
+	}))
+	open1 := dial(t, relay)
+	open1.ask(t, open, "UP")
+	awaitReady(t, admin)
+	rests, half := dial(t, relay), dial(t, relay)
+	rests.ask(t, "PING", "PONG")
+	fmt.Fprint(half, "OPEN h1 7f3a c=map")
+	if code, _ := call(t, "POST", "http://"+admin+"/ops/drain/start"); code/100 != 2 {
+		t.Fatalf("drain: %d", code)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	for line := range said {
+		if strings.HasPrefix(line, "leaving") {
+			cmd.Process.Signal(syscall.SIGTERM)
+			break
+		}
+	}
+	go func() {
+		for range said {
+		}
+	}()
+	if got, err := open1.in.ReadString('\n'); strings.TrimSpace(got) != "MOVE" {
+		t.Errorf("who is open was told %q, %v", got, err)
+	}
+	for name, c := range map[string]*client{"who rests": rests, "who sent half a line": half} {
+		if got, err := c.in.ReadString('\n'); got != "" || err == nil || err.Error() != "EOF" {
+			t.Errorf("%s: %q, %v", name, got, err)
+		}
+		c.Close()
+	}
+	open1.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -87,7 +87,7 @@
 		least += adminSockets
 	}
 	if c.Sockets > 0 && c.Sockets < least {
-		return nil, fmt.Errorf("limits.sockets: %d; %d at least are wanted", c.Sockets, least)
+		return nil, fmt.Errorf("limits.sockets: %d are too few: %d at least are wanted", c.Sockets, least)
 	}
 	settings := v.Get("settings")
 	if settings == nil || settings.Type() != fastjson.TypeObject {
