--- a/decide/decide.go
+++ b/decide/decide.go
@@ -373,13 +373,13 @@
 			return false
 		}
 	}
-	return b.warmth(s) == 1 || b.coldBudget(r, s)
+	return b.warmth(s) == 1 || b.coldBudget(s)
 }
 
 // coldBudget draws whether this relay may send a cold backend one more: its part of what all relays may
 // send together (rule 4), spread over how often it comes upon that backend now. Chances do not add up, so
 // a surge keeps within it. A warm backend holds 1/perConn connections and turns them over in a mean life.
-func (b *Balancer) coldBudget(r *request, s *server) bool {
+func (b *Balancer) coldBudget(s *server) bool {
 	adds := b.adds()
 	if adds == 0 { // nobody tells: who holds the mean is taken for full
 		adds = fullLoad * float64(b.listed()) / max(b.all(), float64(b.listed()))
@@ -390,10 +390,7 @@
 	if b.set.Groups || b.talk.Shared { // a circle is drawn from all zones, as is what others tell
 		among = b.listed()
 	}
-	met := b.rate()*min(1, probesPerPick/float64(among)) + b.others(s)/b.set.Rules.FallFor.Seconds()
-	if r.Group != 0 && r.Returned { // it lost its backend with all its group, whose next is this for all of them
-		met = max(met, 1/adds/b.set.Rules.FallFor.Seconds()/float64(b.set.Relays))
-	}
+	met := max(b.rate()*min(1, probesPerPick/float64(among)), b.others(s)/b.set.Rules.FallFor.Seconds())
 	own, since := budget*b.share(), min(b.set.Rules.FallFor, b.now-b.began) // an earlier life may have sent too
 	return b.rng.Float64()*met < own && b.lately(s) < 1+own*since.Seconds() // a surge is known too late by rate
 }
--- a/decide/talk_test.go
+++ b/decide/talk_test.go
@@ -94,7 +94,7 @@
 		list[0].Since = r.now
 		r.do(Members{Kind: Whole, Entries: list})
 		for range 2000 {
-			if r.b.coldBudget(&request{}, r.b.server(0)) {
+			if r.b.coldBudget(r.b.server(0)) {
 				n++
 			}
 		}
