Reproduce the incident with processes behind a fault proxy; the test fails

Cause: under diagnosis; this reproduces hypothesis 1 of docs/incidents/2026-12-02-drain.md. A proxy before discovery (internal/proving, Proxy) falls silent for one relay of three while clients and servers reach it; a server is removed meanwhile.

--- /dev/null
+++ b/internal/proving/oldlist_test.go
@@ -0,0 +1,106 @@
+package proving
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// toldWithin is when discovery's news counts as told at the latest, whether or not it arrived (protocol page, Figures).
+	toldWithin = 6 * time.Second
+	// drainGrace is how long after that something new may still go to a server that drains or is gone, with the sockets' 50 ms.
+	drainGrace = 550 * time.Millisecond
+)
+
+// servers starts n servers that take everything, lists them, and returns them.
+func servers(t *testing.T, g *Ground, n int) (all []*Sink) {
+	t.Helper()
+	for i := range n {
+		s, err := NewSink(fmt.Sprintf("s%d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		s.SetReport("x0=0.1")
+		g.Discovery.Set(s.ID, s.Address, "Ready")
+		all = append(all, s)
+	}
+	return all
+}
+
+// before puts a proxy between a relay that has not started yet and discovery.
+func before(t *testing.T, g *Ground, i int) *Proxy {
+	t.Helper()
+	p, err := NewProxy(g.Discovery.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	if err := g.Reconfigure(i, map[string]any{"discovery": p.Address}); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// One relay of three is cut off from discovery, while clients and servers reach it, and servers are removed meanwhile. News
+// that it cannot hear counts as told 6 s after it was made (incident of 2026-12-02), so half a second later the relay may
+// send those servers nothing more. After the heal it serves again.
+func TestNothingNewByAListThatCannotBeConfirmed(t *testing.T) {
+	for name, play := range map[string]struct {
+		mode   ProxyMode
+		change string
+	}{
+		"silent, a server gone":      {Silent, "Gone"},
+		"silent, a server drains":    {Silent, "Terminating"},
+		"half a line, a server gone": {Trickle, "Gone"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := lay(t, Plan{Relays: 3, Alone: true}, 0)
+			all := servers(t, g, 3)
+			proxy := before(t, g, 0)
+			for i := range g.Relays {
+				if err := g.Start(i); err != nil {
+					t.Fatal(err)
+				}
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			var tally Tally
+			done := make(chan struct{})
+			defer func() { stop(); <-done }()
+			go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+			await(t, patience(), "all serve", func() error {
+				for _, s := range all {
+					if len(s.Came(0, Now())) < 10 {
+						return fmt.Errorf("%s has %d connections", s.ID, len(s.Came(0, Now())))
+					}
+				}
+				return nil
+			})
+			proxy.Set(play.mode)
+			time.Sleep(500 * time.Millisecond)
+			g.Discovery.Set("s0", all[0].Address, play.change)
+			changed := Now()
+			time.Sleep(toldWithin + drainGrace)
+			from := Now()
+			time.Sleep(4 * time.Second)
+			if late := all[0].Came(from, Now()); len(late) > 0 {
+				t.Errorf("%d connections came to a server that is %s, the first %.2f s after the change and the last %.2f s", len(late), play.change,
+					(late[0]-changed)/1000, (late[len(late)-1]-changed)/1000)
+			}
+			proxy.Set(Pass)
+			g.Relays[1].Weigh(0)
+			g.Relays[2].Weigh(0)
+			time.Sleep(400 * time.Millisecond)
+			up := tally.Up.Load()
+			await(t, patience(), "the relay serves again", func() error {
+				if n := tally.Up.Load() - up; n < 20 {
+					return fmt.Errorf("%d connections are up", n)
+				}
+				return nil
+			})
+		})
+	}
+}
--- a/internal/proving/proving.go
+++ b/internal/proving/proving.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -220,6 +221,24 @@
 	return errors.Join(os.WriteFile(r.file("config.json"), text, 0o600), g.Flatten(i), r.apply())
 }
 
+// Reconfigure changes keys of a relay's configuration. It counts from its next start or reload on.
+func (g *Ground) Reconfigure(i int, changes map[string]any) error {
+	path := g.Relays[i].file("config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	maps.Copy(c, changes)
+	if text, err = json.Marshal(c); err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
+
 func (r *Relay) file(name string) string { return filepath.Join(r.dir, name) }
 
 // apply hands the rules to the process: a file that is replaced at once.
--- /dev/null
+++ b/internal/proving/proxy.go
@@ -0,0 +1,181 @@
+package proving
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// ProxyMode is what a Proxy does with connections.
+type ProxyMode uint8
+
+// The modes. A connection that has been through Silent or Trickle is reset when the mode goes back to Pass, since what it lost is lost.
+const (
+	Pass    ProxyMode = iota
+	Silent            // connections stay open and new ones are accepted, but nothing passes either way
+	Trickle           // what stands gets a byte each trickleEvery; new connections are silent
+	Down              // connections are reset, and new ones are answered 503 at once
+	Broken            // connections are reset, new ones as soon as they have asked
+)
+
+const trickleEvery = 300 * time.Millisecond
+
+// Proxy stands between a process and an address that it connects to, and fails as it is told.
+type Proxy struct {
+	Address string
+
+	target   string
+	listener net.Listener
+	mu       sync.Mutex
+	mode     ProxyMode
+	changed  chan struct{} // closed as the mode changes
+	open     map[*proxied]struct{}
+}
+
+// proxied is one connection through a Proxy.
+type proxied struct {
+	client, server net.Conn
+	tainted        bool // something was held back
+}
+
+func (p *proxied) reset() {
+	for _, conn := range []net.Conn{p.client, p.server} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+			tcp.Close()
+		}
+	}
+}
+
+// NewProxy starts a proxy before an address.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, changed: make(chan struct{}), open: map[*proxied]struct{}{}}
+	go p.serve()
+	return p, nil
+}
+
+// Set changes the mode, for the connections that stand too.
+func (p *Proxy) Set(mode ProxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		switch {
+		case mode == Down, mode == Broken, mode == Pass && c.tainted:
+			c.reset()
+		case mode != Pass:
+			c.tainted = true
+		}
+	}
+	p.mode = mode
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.Set(Broken)
+}
+
+func (p *Proxy) state() (ProxyMode, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.changed
+}
+
+func (p *Proxy) serve() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(conn)
+	}
+}
+
+// enter counts a connection in, in the present mode.
+func (p *Proxy) enter(c *proxied) ProxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[c] = struct{}{}
+	c.tainted = p.mode != Pass
+	return p.mode
+}
+
+func (p *Proxy) leave(c *proxied) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
+func (p *Proxy) carry(conn net.Conn) {
+	defer conn.Close()
+	c := &proxied{client: conn}
+	switch p.enter(c) {
+	case Down, Broken:
+		p.turnAway(conn)
+		p.leave(c)
+		return
+	}
+	defer p.leave(c)
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	p.mu.Lock()
+	c.server = server
+	p.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { p.copy(server, conn); done <- struct{}{} }()
+	go func() { p.copy(conn, server); done <- struct{}{} }()
+	<-done
+}
+
+// turnAway answers a call as a discovery that is down.
+func (p *Proxy) turnAway(conn net.Conn) {
+	conn.SetReadDeadline(time.Now().Add(time.Second))
+	conn.Read(make([]byte, 4096))
+	if mode, _ := p.state(); mode == Down {
+		io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+}
+
+// copy passes bytes on one way as the mode has it.
+func (p *Proxy) copy(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		for part := buffer[:n]; len(part) > 0; {
+			mode, changed := p.state()
+			size := len(part)
+			switch mode {
+			case Silent:
+				<-changed
+				continue
+			case Trickle:
+				size = 1
+				time.Sleep(trickleEvery)
+			}
+			if _, err := to.Write(part[:size]); err != nil {
+				return
+			}
+			part = part[size:]
+		}
+		if err != nil {
+			for mode, changed := p.state(); mode == Silent; mode, changed = p.state() { // an end does not come through either
+				<-changed
+			}
+			return
+		}
+	}
+}
