Ask one guard before every act, and log and count what stands behind the incident

Cause: the logs of the relays at fault hold nothing of discovery, of the age of the list, or of why something was or was not sent.

Change: internal/guard decides in one place whether an attempt may start, its first byte be written, a request be refused, answered or taken on; the Exchange fills in the facts and asks. It behaves as before but for the scope of keyed classes, which was checked by the decision module only. ListLease follows when discovery was last heard; nothing is denied by it yet. Rules are checked once more after the act (relay_violations), denials and refusals are counted by reason, calls to discovery are numbered and logged with how they ended, lists with version and the servers they take away. A dial of discovery that times out is made again at once.

Measured: tests of memory, wire, admin, lifecycle and cmd pass.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -52,6 +52,10 @@
 }
 func (source) Current() int            { return 14 }
 func (source) Cluster() memory.Cluster { return memory.Cluster{Listed: 6, Banned: 1, Shunned: 2} }
+func (source) Rules() memory.RuleFigures {
+	return memory.RuleFigures{ListAge: 1500, ListLapsed: true, Denied: map[string]uint64{"list lapsed": 7}, Refusals: map[string]uint64{"no room": 2},
+		Violations: map[string]uint64{"drain": 0}}
+}
 
 func serve(t *testing.T) (string, *relay) {
 	base, r, _ := serveOn(t)
@@ -121,7 +125,7 @@
 	for _, want := range []string{
 		`relay_answered{group="map-stream"} 812`, `relay_deferred{group="map-stream"} 3`, `relay_errored{group="map-stream"} 1`,
 		`relay_sends{group="map-stream"} 900`, `relay_answered{group="alert-feed"} 5`, "relay_current 14", "relay_cluster_size 6",
-		"relay_cluster_unhealthy 3", "# TYPE relay_answered counter", "# TYPE relay_current gauge",
+		"relay_cluster_unhealthy 3", "relay_list_age_seconds 1.5", "relay_list_lapsed 1", `relay_denied{why="list lapsed"} 7`, `relay_refusals{why="no room"} 2`, `relay_violations{rule="drain"} 0`, "# TYPE relay_answered counter", "# TYPE relay_current gauge",
 	} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("no %q in\n%s", want, text)
--- a/internal/admin/figures.go
+++ b/internal/admin/figures.go
@@ -11,6 +11,7 @@
 	Counts() []memory.Counts // by class number, since the process started
 	Current() int            // connections taken and not ended
 	Cluster() memory.Cluster
+	Rules() memory.RuleFigures
 }
 
 // Front is a source with the names of its classes, by number.
@@ -29,10 +30,17 @@
 //	relay_current           gauge    connections taken and not ended
 //	relay_cluster_size      gauge    tile servers in the list
 //	relay_cluster_unhealthy gauge    of those, the ones the relay avoids now, by hand or by choice
+//	relay_list_age_seconds  gauge    since discovery was last heard, of the front where that is longest
+//	relay_list_lapsed       gauge    1 while a list of servers cannot be confirmed, and nothing new is sent by it
+//	relay_denied{why}       counter  what was not sent or started, by what stood in the way
+//	relay_refusals{why}     counter  final answers of the decision module that are no server's, by the reason
+//	relay_violations{rule}  counter  what was done against a rule: each is a fault of this program
 type Figures struct {
 	fronts                                 []Front
 	answered, deferred, errored, sends     *prometheus.Desc
 	current, clusterSize, clusterUnhealthy *prometheus.Desc
+	listAge, listLapsed                    *prometheus.Desc
+	denied, refusals, violations           *prometheus.Desc
 }
 
 // NewFigures returns the collector of the fronts' figures.
@@ -40,6 +48,9 @@
 	byClass := func(name, help string) *prometheus.Desc {
 		return prometheus.NewDesc(name, help, []string{"group"}, nil)
 	}
+	by := func(name, help, label string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, []string{label}, nil)
+	}
 	one := func(name, help string) *prometheus.Desc { return prometheus.NewDesc(name, help, nil, nil) }
 	return &Figures{fronts: fronts,
 		answered:         byClass("relay_answered", "Connections brought up, by class, since the process started."),
@@ -49,12 +60,18 @@
 		current:          one("relay_current", "Connections taken and not ended."),
 		clusterSize:      one("relay_cluster_size", "Tile servers in the list."),
 		clusterUnhealthy: one("relay_cluster_unhealthy", "Listed tile servers the relay avoids now, by hand or by choice."),
+		listAge:          one("relay_list_age_seconds", "Seconds since discovery was last heard."),
+		listLapsed:       one("relay_list_lapsed", "1 while the list of servers cannot be confirmed and nothing new is sent by it."),
+		denied:           by("relay_denied", "What was not sent or started, by what stood in the way.", "why"),
+		refusals:         by("relay_refusals", "Final answers of the decision module that are no server's, by the reason.", "why"),
+		violations:       by("relay_violations", "What was done against a rule; each is a fault of the program.", "rule"),
 	}
 }
 
 // Describe sends the descriptions of all figures.
 func (f *Figures) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{f.answered, f.deferred, f.errored, f.sends, f.current, f.clusterSize, f.clusterUnhealthy} {
+	for _, d := range []*prometheus.Desc{f.answered, f.deferred, f.errored, f.sends, f.current, f.clusterSize, f.clusterUnhealthy,
+		f.listAge, f.listLapsed, f.denied, f.refusals, f.violations} {
 		ch <- d
 	}
 }
@@ -96,4 +113,30 @@
 	ch <- prometheus.MustNewConstMetric(f.current, prometheus.GaugeValue, current)
 	ch <- prometheus.MustNewConstMetric(f.clusterSize, prometheus.GaugeValue, size)
 	ch <- prometheus.MustNewConstMetric(f.clusterUnhealthy, prometheus.GaugeValue, min(unhealthy, size))
+	f.collectRules(ch)
+}
+
+// collectRules reads what the guard of every front has counted.
+func (f *Figures) collectRules(ch chan<- prometheus.Metric) {
+	age, lapsed := 0.0, 0.0
+	sums := map[*prometheus.Desc]map[string]float64{f.denied: {}, f.refusals: {}, f.violations: {}}
+	for _, fr := range f.fronts {
+		figures := fr.Source.Rules()
+		age = max(age, figures.ListAge/1000)
+		if figures.ListLapsed {
+			lapsed = 1
+		}
+		for desc, counts := range map[*prometheus.Desc]map[string]uint64{f.denied: figures.Denied, f.refusals: figures.Refusals, f.violations: figures.Violations} {
+			for label, n := range counts {
+				sums[desc][label] += float64(n)
+			}
+		}
+	}
+	ch <- prometheus.MustNewConstMetric(f.listAge, prometheus.GaugeValue, age)
+	ch <- prometheus.MustNewConstMetric(f.listLapsed, prometheus.GaugeValue, lapsed)
+	for desc, counts := range sums {
+		for label, n := range counts {
+			ch <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, n, label)
+		}
+	}
 }
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,178 @@
+// Package guard is the one place that decides whether a relay may send, repeat, answer, close or start something now. The rules are
+// those of the protocol page; whoever acts fills in what is known at that moment, asks right before the act, and does nothing that
+// is denied. It has no clock, no lock and no I/O.
+//
+// Check functions return a Denial, Allowed if nothing stands in the way. Violations counts what was done against a rule all the
+// same: each is a fault of this program.
+package guard
+
+import "capersail/decide"
+
+// Denial says why something may not be done now.
+type Denial uint8
+
+// The denials.
+const (
+	Allowed        Denial = iota
+	NotWaiting            // the request has its answer, or is up, or the attempt has been called off
+	AttemptOut            // another attempt of the request is out
+	AttemptsSpent         // it has had as many as the settings allow
+	TimeOver              // the time of the attempt is over
+	ClientGone            // the client has closed, or has spoilt its request
+	ServerNotReady        // the server drains, is out by hand or is gone
+	ListLapsed            // the list of servers cannot be confirmed
+	MayHaveRun            // an earlier attempt may have run, and the class must not run twice
+	WindowOver            // the time in which servers know a repeat again is over
+	OtherServers          // the server does not know the keys of the one where an earlier attempt may have run
+	RelayLeaving          // the relay leaves, or is drained by hand
+	NameTaken             // another request has the same name
+	ClaimLapsed           // the right to serve the stream may be lost
+	denials
+)
+
+var denialNames = [denials]string{"allowed", "not waiting", "attempt out", "attempts spent", "time over", "client gone",
+	"server not ready", "list lapsed", "may have run", "window over", "other servers", "relay leaving", "name taken", "claim lapsed"}
+
+// String is the denial as logs and figures have it.
+func (d Denial) String() string {
+	if d >= denials {
+		return "unknown"
+	}
+	return denialNames[d]
+}
+
+// Denials are all reasons for which something may be denied.
+func Denials() (all []Denial) {
+	for d := Allowed + 1; d < denials; d++ {
+		all = append(all, d)
+	}
+	return all
+}
+
+// Request is what is known of a request that something is to be done for.
+type Request struct {
+	Waiting      bool // it has no answer, is not up, and is this relay's to serve
+	AttemptOut   bool // an attempt is out whose end has not been told
+	Begun        bool // the first byte of that attempt may have been written
+	MayHaveRun   bool // an attempt has ended without proof that it never ran
+	RanAt        float64
+	RanOn        Place // of the server of that attempt
+	Attempts     int   // made so far
+	MostAttempts int   // 0 for any number
+	Effect       decide.Effect
+	Scope        decide.Scope
+	Window       float64 // in which servers know a repeat again, in ms
+	Standing     bool    // a connection that stood at its server before this relay started: it goes back there whatever the list says
+	ClaimLapsed  bool
+}
+
+// Place is where a server stands.
+type Place struct {
+	Zone string
+	Cell int32
+}
+
+// Target is the server that something is to be sent to, by the newest list.
+type Target struct {
+	Known bool
+	Ready bool
+	Place Place
+}
+
+// MayTry tells whether an attempt may be started: a dial, of which nothing is sent yet.
+func MayTry(now float64, r Request, to Target, list *ListLease) Denial {
+	switch {
+	case !r.Waiting:
+		return NotWaiting
+	case r.ClaimLapsed:
+		return ClaimLapsed
+	case r.AttemptOut:
+		return AttemptOut
+	case r.MostAttempts > 0 && r.Attempts >= r.MostAttempts:
+		return AttemptsSpent
+	case !to.Known:
+		return ServerNotReady
+	}
+	if d := mayRepeat(now, r, to); d != Allowed {
+		return d
+	}
+	return mayReach(now, r, to, list)
+}
+
+// MayWrite tells whether the first byte of an attempt that has been dialled may be written. until is when the relay stops waiting
+// for the attempt; clientGone, that the client's end has come, even where nobody has had time to read it.
+func MayWrite(now, until float64, r Request, to Target, list *ListLease, clientGone bool) Denial {
+	switch {
+	case !r.Waiting:
+		return NotWaiting
+	case r.ClaimLapsed:
+		return ClaimLapsed
+	case now >= until:
+		return TimeOver
+	}
+	if d := mayReach(now, r, to, list); d != Allowed {
+		return d
+	}
+	if clientGone {
+		return ClientGone
+	}
+	return mayRepeat(now, r, to)
+}
+
+// mayReach tells whether something new may go to a server.
+func mayReach(now float64, r Request, to Target, list *ListLease) Denial {
+	switch {
+	case r.Standing:
+		return Allowed
+	case !to.Ready:
+		return ServerNotReady
+	}
+	return Allowed
+}
+
+// mayRepeat tells whether a request whose earlier attempt may have run can be sent to a server.
+func mayRepeat(now float64, r Request, to Target) Denial {
+	switch {
+	case !r.MayHaveRun, r.Effect == decide.Safe:
+		return Allowed
+	case r.Effect == decide.Unsafe:
+		return MayHaveRun
+	case now-r.RanAt >= r.Window:
+		return WindowOver
+	case r.Scope == decide.ScopeZone && to.Place.Zone != r.RanOn.Zone, r.Scope == decide.ScopeCell && to.Place.Cell != r.RanOn.Cell:
+		return OtherServers
+	}
+	return Allowed
+}
+
+// MayRefuse tells whether a request may be refused, which promises that trying again is harmless. Else it fails.
+func MayRefuse(r Request) Denial {
+	switch {
+	case r.Effect == decide.Safe:
+		return Allowed
+	case r.AttemptOut && r.Begun:
+		return MayHaveRun
+	case r.MayHaveRun && (r.Effect == decide.Unsafe || r.Scope != decide.ScopeAll):
+		return MayHaveRun
+	}
+	return Allowed
+}
+
+// MayStart tells whether the relay may take on a request.
+func MayStart(leaving, nameTaken bool) Denial {
+	switch {
+	case nameTaken:
+		return NameTaken
+	case leaving:
+		return RelayLeaving
+	}
+	return Allowed
+}
+
+// MayAnswer tells whether a request may be given a final answer: once, and not while a server serves it.
+func MayAnswer(answered, up bool) Denial {
+	if answered || up {
+		return NotWaiting
+	}
+	return Allowed
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -33,6 +34,7 @@
 	holdPart     = 0.7    // part of that time in which open connections are served on
 	graceAfter   = 300.0  // after that time all that is held has its answer; SIGKILL comes 700 ms after it at the earliest
 	closeAfter   = 600.0  // and by then every connection is closed
+	guardLines   = 20     // log lines a second of what the guard denies
 	leastLeave   = 700.0  // new connections go on coming for up to 400 ms after SIGTERM
 )
 
@@ -228,6 +230,7 @@
 	clock := memory.NewClock()
 	servers := &platform.Servers{Clock: clock, ConnectTimeout: memory.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey, Keep: probeSockets}
 	x := memory.NewExchange(c.Site, clock, servers)
+	x.Log = log.Sample(&zerolog.BurstSampler{Burst: guardLines, Period: time.Second})
 	lister := discovery.NewClient(c.Discovery, x, log)
 	lister.Pushed = !c.Site.Settings.Ask
 	l, inherited, err := listen(c)
@@ -239,6 +242,11 @@
 	joint := &seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front, site: c.Site, lister: lister}
 	all.join(joint)
 	x.Members(decide.Cached, c.Known.Entries)
+	askWithin := 0.0
+	if c.Site.Settings.Ask {
+		askWithin = memory.Millis(c.Site.Settings.Rules.AskWithin)
+	}
+	x.HoldList(askWithin)
 	go lister.Run(ctx, c.Known.Version)
 	core := memory.NewCore(x, c.Seed, lister, log)
 	core.Fleet, core.Shared = joint.fleet, joint.shared
@@ -270,10 +278,10 @@
 // once they would find every server loaded, as reports are a second old and still count them.
 func leave(r *relay) {
 	r.x.Drain()
-	began, time, all := r.x.Clock.Now(), min(r.longest, longestLeave), r.x.MoveSome(0)
+	began, span, all := r.x.Clock.Now(), min(r.longest, longestLeave), r.x.MoveSome(0)
 	pause := func(ms float64) { <-r.x.Clock.After(ms) }
-	for now := began; now < began+time+graceAfter; now = r.x.Clock.Now() {
-		n := r.x.MoveSome(0) - staying(all, now-began, time)
+	for now := began; now < began+span+graceAfter; now = r.x.Clock.Now() {
+		n := r.x.MoveSome(0) - staying(all, now-began, span)
 		if left := r.x.MoveSome(n); left == 0 && now >= began+leastLeave {
 			break
 		}
@@ -283,17 +291,17 @@
 	r.x.FailAll()
 	r.x.MoveSome(r.x.MoveSome(0))
 	r.door.End()
-	for r.door.Held() > 0 && r.x.Clock.Now() < began+time+closeAfter {
+	for r.door.Held() > 0 && r.x.Clock.Now() < began+span+closeAfter {
 		pause(closeStep)
 	}
 }
 
-// staying is how many of all calls may still be there at some point of a leave that takes so much time.
-func staying(all int, since, time float64) int {
-	if time <= 0 { // no class has a deadline: SIGKILL may come 700 ms after SIGTERM
+// staying is how many of all calls may still be there at some point of a leave that takes so long.
+func staying(all int, since, span float64) int {
+	if span <= 0 { // no class has a deadline: SIGKILL may come 700 ms after SIGTERM
 		return 0
 	}
-	return shareOf(all, (time-since)/(time*(1-holdPart)))
+	return shareOf(all, (span-since)/(span*(1-holdPart)))
 }
 
 // shareOf is the share p of all, rounded up, p held between 0 and 1: how many are still kept at a point of a leave.
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -5,7 +5,10 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/rs/zerolog"
+
 	"capersail/decide"
+	"capersail/internal/guard"
 	"capersail/internal/observe/tap"
 )
 
@@ -116,10 +119,17 @@
 	Clock *Clock
 	// Tap gets a record of whatever happens; nil for none. It is set before the first use.
 	Tap *tap.Tap
+	// Log gets what the guard denies, and what was done against a rule. It is set before the first use; the zero one writes nothing.
+	Log zerolog.Logger
+	// Violations and Denied count what was done against a rule, and what was not done for one.
+	Violations guard.Violations
+	Denied     guard.Denied
 
 	mu       sync.Mutex
 	site     *Site
 	roster   roster
+	list     guard.ListLease // of the list of servers; the zero one never lapses
+	lapsed   bool            // the module has been told that it has lapsed
 	calls    map[decide.RequestID]*Call
 	names    map[string]*Call // the calls that have names
 	lastID   decide.RequestID
@@ -154,6 +164,7 @@
 	mayRun   bool    // some attempt ended without proof that it never ran
 	began    float64 // when the latest attempt's first byte was let go
 	ranAt    float64 // the same of the first attempt that may have run
+	ranOn    guard.Place
 	canceled bool
 	moving   bool
 	silent   bool
@@ -203,10 +214,12 @@
 func (x *Exchange) Open(a Ask, client Client) *Call {
 	x.mu.Lock()
 	c := x.enter(a, client)
-	switch {
-	case c.double():
+	switch denial := guard.MayStart(x.refusing(), c.double()); {
+	case denial == guard.NameTaken:
+		c.deny(denial, nil)
 		c.end(Answer{Kind: Failed})
-	case x.refusing():
+	case denial != guard.Allowed:
+		c.deny(denial, nil)
 		c.end(x.advised(x.elsewhere()))
 	case a.Claim != nil && a.Claim.Wait():
 		c.state = Claiming
@@ -233,11 +246,17 @@
 	defer x.mu.Unlock()
 	c := x.enter(a, client)
 	c.resumed = true
-	if s := x.roster.byID[server]; s == nil || x.refusing() || c.double() {
+	s := x.roster.byID[server]
+	denial := guard.MayStart(x.refusing(), c.double())
+	if denial == guard.Allowed {
+		denial = guard.MayTry(x.Clock.Now(), c.guarded(c.state == Held), s.target(), &x.list)
+	}
+	if denial != guard.Allowed {
+		c.deny(denial, s)
 		c.end(Answer{Kind: Failed})
-	} else {
-		c.try(s, 0)
+		return c
 	}
+	c.try(s, 0)
 	return c
 }
 
@@ -268,6 +287,9 @@
 // try starts an attempt. The caller holds the lock.
 func (c *Call) try(s *Server, timeout float64) {
 	now := c.x.Clock.Now()
+	if c.out {
+		c.violated(guard.Duplicate, s)
+	}
 	until := c.deadline
 	if timeout != 0 {
 		until = min(until, now+timeout)
@@ -281,9 +303,12 @@
 
 // end gives a call that is not up its final answer, once. The caller holds the lock.
 func (c *Call) end(a Answer) {
-	if c.state == Up || c.state == Ended {
+	if guard.MayAnswer(c.state == Ended, c.state == Up) != guard.Allowed {
 		return
 	}
+	if a.Kind != NoAnswer && c.x.Clock.Now() > c.deadline+guard.AnswerSlack {
+		c.violated(guard.Late, nil)
+	}
 	if a.Cause == decide.OK { // then what the last attempt met
 		a.Cause = c.answer.Cause
 	}
@@ -324,7 +349,7 @@
 	switch {
 	case c.state != Claiming:
 		return false
-	case c.x.refusing():
+	case guard.MayStart(c.x.refusing(), false) != guard.Allowed:
 		c.end(c.x.advised(c.x.elsewhere()))
 		return false
 	}
@@ -358,7 +383,7 @@
 	switch c.state {
 	case Held, Trying:
 		a := Answer{Kind: Refused, RetryAfter: after}
-		if c.risky() {
+		if guard.MayRefuse(c.guarded(true)) != guard.Allowed {
 			a = Answer{Kind: Failed}
 		}
 		c.x.post(decide.Gone{ID: c.ID})
@@ -370,18 +395,12 @@
 	}
 }
 
-// risky tells whether to try again might do harm.
-func (c *Call) risky() bool {
-	return c.x.site.Settings.Classes[c.Class].Effect != decide.Safe && (c.mayRun || c.out && c.begun)
-}
-
 // send does what the module wants: one more attempt. What the rules forbid is never sent.
 func (x *Exchange) send(id decide.RequestID, to decide.Backend, timeout float64, pool []decide.View) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	c := x.calls[id]
-	if c == nil || c.state != Held || c.out || x.site.Settings.MaxAttempts > 0 && c.sends >= x.site.Settings.MaxAttempts ||
-		int(to) >= len(x.roster.servers) || c.mayRun && x.site.Settings.Classes[c.Class].Effect == decide.Unsafe {
+	if denial := x.mayTry(c, to); denial != guard.Allowed {
 		x.post(decide.Outcome{ID: id, Backend: to, Status: decide.Moot, Closed: c == nil || c.state != Held, Report: decide.NoReport})
 		return
 	}
@@ -391,13 +410,38 @@
 	}
 }
 
+// mayTry tells whether an attempt of a call that the module wants may be started. The caller holds the lock.
+func (x *Exchange) mayTry(c *Call, to decide.Backend) guard.Denial {
+	if c == nil {
+		return guard.NotWaiting
+	}
+	var s *Server
+	if to >= 0 && int(to) < len(x.roster.servers) {
+		s = x.roster.servers[to]
+	}
+	denial := guard.MayTry(x.Clock.Now(), c.guarded(c.state == Held), s.target(), &x.list)
+	if denial != guard.Allowed {
+		c.deny(denial, s)
+	}
+	return denial
+}
+
 // finish gives a request the module's final answer. It comes too late for one that is up or ended.
 func (x *Exchange) finish(id decide.RequestID, a Answer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if c := x.calls[id]; c != nil {
-		c.end(a)
+	c := x.calls[id]
+	if c == nil || guard.MayAnswer(c.state == Ended, c.state == Up) != guard.Allowed {
+		return
+	}
+	if a.Kind == Refused && guard.MayRefuse(c.guarded(true)) != guard.Allowed {
+		c.violated(guard.Promise, nil)
+		a.Kind = Failed
 	}
+	if a.why != decide.NoReason && a.why <= decide.NotAgain {
+		x.figures.refusals[a.why]++
+	}
+	c.end(a)
 }
 
 // overdue is the backstop behind the module: a request that has no answer well after its deadline fails.
@@ -543,14 +587,11 @@
 func (c *Call) Begin(no int) bool {
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
-	if c.state != Trying || c.attempt.No != no || c.canceled || c.x.Clock.Now() >= c.attempt.Until {
-		return false
-	}
-	if !c.resumed && c.attempt.listed().mode != decide.Ready || c.client.Pending() {
-		return false
-	}
-	if class := &c.x.site.Settings.Classes[c.Class]; c.mayRun && class.Effect == decide.Keyed &&
-		c.x.Clock.Now()-c.ranAt >= Millis(class.Window) {
+	waiting := c.state == Trying && c.attempt.No == no && !c.canceled
+	s := c.attempt.listed()
+	denial := guard.MayWrite(c.x.Clock.Now(), c.attempt.Until, c.guarded(waiting), s.target(), &c.x.list, waiting && c.client.Pending())
+	if denial != guard.Allowed {
+		c.deny(denial, s)
 		return false
 	}
 	c.begun, c.began = true, c.x.Clock.Now()
@@ -653,7 +694,7 @@
 		status = decide.Cancelled
 	}
 	if !c.mayRun && !status.NeverRan() {
-		c.mayRun, c.ranAt = true, c.began
+		c.mayRun, c.ranAt, c.ranOn = true, c.began, c.attempt.listed().place()
 	}
 	switch c.state {
 	case Trying:
@@ -719,6 +760,7 @@
 func (x *Exchange) sweep() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.checkList()
 	now := x.Clock.Now()
 	for _, c := range x.calls {
 		if c.state != Up || c.asked == 0 || now-c.asked < lateAfter {
@@ -759,7 +801,7 @@
 	defer x.mu.Unlock()
 	for _, c := range x.calls {
 		kind := Refused
-		if c.risky() {
+		if guard.MayRefuse(c.guarded(true)) != guard.Allowed {
 			kind = Failed
 		}
 		c.end(Answer{Kind: kind, by: tap.Leaving})
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -18,6 +18,7 @@
 // figures are the counters, by class. The Exchange's lock guards them.
 type figures struct {
 	answered, deferred, errored, sends []uint64
+	refusals                           [decide.NotAgain + 1]uint64 // by the module's reason
 }
 
 func newFigures(classes int) figures {
@@ -153,7 +154,7 @@
 			continue
 		}
 		s.banned = out[s.ID]
-		s.mode = s.effective()
+		x.roster.setMode(s)
 		m.Entries = append(m.Entries, x.roster.entry(s))
 	}
 	if len(m.Entries) == 0 {
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -41,11 +41,13 @@
 	Address string
 	Load    float64 // as the list told it last, negative if it does not
 	Resumes bool
-	mode    decide.Mode // as the module is told: a server out by hand drains
+	mode    decide.Mode // as the module is told: a server out by hand, or of a list that has lapsed, drains
 	listed  decide.Mode // as the list has it
 	banned  bool        // out by hand
-	notedAt float64     // when the module was last told of a slow message there
-	now     *Server     // the roster's own, of which an attempt holds a copy
+	// unreadyAt is when mode was last seen to leave Ready, on the relay's clock.
+	unreadyAt float64
+	notedAt   float64 // when the module was last told of a slow message there
+	now       *Server // the roster's own, of which an attempt holds a copy
 
 	started   float64 // Unix ms, as the list has it
 	zone      string
@@ -62,14 +64,22 @@
 	byID    map[string]*Server
 	servers []*Server       // by number; a server keeps its number for this relay's life
 	out     map[string]bool // the ids of servers that are out by hand
+	lapsed  bool            // the list cannot be confirmed, and nothing new is sent by it
 	whole   bool            // a whole list has come from discovery, or one with entries from the configuration
 }
 
 // take writes a list into the roster and returns it in the module's numbers.
 func (r *roster) take(kind decide.ListKind, list []Listed) decide.Members {
 	if kind != decide.Delta && kind != decide.Failed { // who is not in a whole list is gone
+		listed := map[string]bool{}
+		for _, l := range list {
+			listed[l.ID] = true
+		}
 		for _, s := range r.servers {
-			s.mode, s.listed = decide.GoneMode, decide.GoneMode
+			if !listed[s.ID] {
+				s.listed = decide.GoneMode
+				r.setMode(s)
+			}
 		}
 	}
 	m := decide.Members{Kind: kind}
@@ -82,7 +92,7 @@
 			r.servers = append(r.servers, s)
 		}
 		s.listed, s.Load, s.Resumes, s.started, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Started, l.Zone, l.Cell
-		s.mode = s.effective()
+		r.setMode(s)
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
 		}
@@ -91,12 +101,19 @@
 	return m
 }
 
-// effective is the mode the module is told: out by hand, a ready server drains.
-func (s *Server) effective() decide.Mode {
-	if s.banned && s.listed == decide.Ready {
-		return decide.Draining
+// setMode sets the mode that the module is told from what is known of a server: out by hand, or by a list that has lapsed, a
+// ready one drains. It tells whether the mode has changed.
+func (r *roster) setMode(s *Server) (changed bool) {
+	mode := s.listed
+	if mode == decide.Ready && (s.banned || r.lapsed) {
+		mode = decide.Draining
+	}
+	if s.mode == decide.Ready && mode != decide.Ready {
+		s.unreadyAt = r.clock.Now()
 	}
-	return s.listed
+	changed = s.mode != mode
+	s.mode = mode
+	return changed
 }
 
 // entry is the server as the module is told of it.
--- a/internal/wire/discovery/call.go
+++ b/internal/wire/discovery/call.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"capersail/decide"
 	"capersail/internal/memory"
@@ -20,7 +21,7 @@
 	a := c.open(ctx, address, path)
 	defer a.close()
 	if a.err != nil {
-		return a.err
+		return a.failure()
 	}
 	for text, err := a.first, a.then; ; text, err = a.lists.next() {
 		ended := errors.Is(err, io.EOF)
@@ -35,6 +36,7 @@
 			if !c.doubt.believes(list, *version, c.listed(), address) {
 				return errDoubted
 			}
+			c.logList(a, list, *version)
 			*version = list.Version
 			c.generation.Store(list.Version)
 			kind := decide.Delta
@@ -43,6 +45,9 @@
 			}
 			c.tell(kind, list.Entries)
 		}
+		if err == nil {
+			c.heard()
+		}
 		switch {
 		case ended:
 			return nil
@@ -56,6 +61,21 @@
 	}
 }
 
+// failure is what a call without an answer ends with. One that was refused, or answered that it cannot be served, within
+// turnedAwayWithin shows that discovery is down: a crowded one fails calls that have waited (protocol, Discovery).
+func (a *answer) failure() error {
+	switch {
+	case slow(a.err) && !a.dialled:
+		return fmt.Errorf("%w: %w", errUnreached, a.err)
+	case a.took < turnedAwayWithin && (errors.Is(a.err, errStatus) || errors.Is(a.err, syscall.ECONNREFUSED)):
+		return fmt.Errorf("%w: %w", errTurnedAway, a.err)
+	}
+	return a.err
+}
+
+// errStatus is an answer of another status than 200.
+var errStatus = errors.New("discovery answered")
+
 // slow tells whether time ran out.
 func slow(err error) bool {
 	var e net.Error
@@ -64,14 +84,18 @@
 
 // answer is what a call has brought: its first line, or an error.
 type answer struct {
-	no    int // of the call, 0 or 1
-	conn  net.Conn
-	lists objects
-	first []byte
-	then  error // what came with the first line, as the end of a body does
-	begun bool  // the first line has been taken in
-	err   error // no first line came
-	close func()
+	no   int    // of the call, 0 or 1
+	id   uint64 // of the call, since the process started
+	took float64
+	// dialled: its connection came up.
+	dialled bool
+	conn    net.Conn
+	lists   objects
+	first   []byte
+	then    error // what came with the first line, as the end of a body does
+	begun   bool  // the first line has been taken in
+	err     error // no first line came
+	close   func()
 }
 
 // open makes a call and waits for the first line of its answer. One that hangs says nothing of discovery, and to give it up would
@@ -84,9 +108,11 @@
 		own, stop := context.WithCancel(ctx)
 		no := len(stops)
 		stops = append(stops, stop)
+		id, began := c.calls.Add(1), c.clock.Now()
 		go func() {
 			a := c.begins(own, address, path)
-			a.no, a.close = no, stop
+			a.no, a.id, a.took, a.close = no, id, c.clock.Now()-began, stop
+			c.logCall(own, a, path)
 			answers <- a
 		}()
 	}
@@ -126,13 +152,13 @@
 	context.AfterFunc(ctx, func() { conn.Close() })
 	conn.SetDeadline(c.clock.Wall(c.clock.Now() + c.within))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, address); err != nil {
-		return &answer{err: fmt.Errorf("ask: %w", err)}
+		return &answer{dialled: true, err: fmt.Errorf("ask: %w", err)}
 	}
 	body, err := head(bufio.NewReaderSize(conn, maxLine))
 	if err != nil {
-		return &answer{err: err}
+		return &answer{dialled: true, err: err}
 	}
-	a := &answer{conn: conn, lists: objects{bufio.NewReaderSize(body, 64<<10)}}
+	a := &answer{dialled: true, conn: conn, lists: objects{bufio.NewReaderSize(body, 64<<10)}}
 	if a.first, a.then = a.lists.next(); a.then != nil && !errors.Is(a.then, io.EOF) {
 		a.err = fmt.Errorf("read: %w", a.then)
 	}
@@ -157,7 +183,7 @@
 		return nil, fmt.Errorf("status line %.60q", status)
 	}
 	if parts[1] != "200" {
-		return nil, fmt.Errorf("discovery answered %s", parts[1])
+		return nil, fmt.Errorf("%w %s", errStatus, parts[1])
 	}
 	length, chunked := int64(math.MaxInt64), false
 	for n := 0; ; n++ {
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -27,7 +27,9 @@
 	dialWithin  = 1500.0 // ms until a connection is up
 	headWithin  = 4000.0 // ms until an answer begins: discovery works through calls in turn
 	secondAfter = 1500.0 // ms without an answer after which a second call is made beside the first
-	quietWithin = 3000.0 // ms without a line: a watch brings one at least every 2 s
+	// turnedAwayWithin is how soon a call is refused by a service that does not serve.
+	turnedAwayWithin = 200.0
+	quietWithin      = 3000.0 // ms without a line: a watch brings one at least every 2 s
 	// pushedAgain is how long after a failed call to the relay's own agent the next one is made, in ms. What the agent has
 	// counts as told whether or not a watch is open, and nobody else calls it.
 	pushedAgain = 100.0
@@ -35,21 +37,25 @@
 
 // Client asks discovery. The module says when; it also draws the jittered wait after a failed call.
 type Client struct {
-	clock  *memory.Clock
-	tell   func(decide.ListKind, []memory.Listed)
-	log    zerolog.Logger
-	quiet  float64       // quietWithin; tests have shorter ones
-	within float64       // headWithin, the same
-	second float64       // secondAfter, the same
-	asks   chan bool     // true for a watch, false for the whole list
-	moved  chan struct{} // holds one token while a new address waits to be followed
+	clock *memory.Clock
+	tell  func(decide.ListKind, []memory.Listed)
+	// heard says that discovery has said something on a call that stands; unheard, that a call has ended or brought nothing.
+	heard   func()
+	unheard func(atOnce bool)
+	log     zerolog.Logger
+	quiet   float64       // quietWithin; tests have shorter ones
+	within  float64       // headWithin, the same
+	second  float64       // secondAfter, the same
+	asks    chan bool     // true for a watch, false for the whole list
+	moved   chan struct{} // holds one token while a new address waits to be followed
 	// Pushed says that lists come from an agent of this relay's own: the client watches from the start and for good, and the
 	// module neither asks for that nor hears of failures. It is set before Run.
 	Pushed bool
 	doubt  doubt      // Run's alone
 	listed func() int // servers in the list held
 
-	generation atomic.Int64 // of the newest list taken in
+	generation atomic.Int64  // of the newest list taken in
+	calls      atomic.Uint64 // made since the process started
 
 	mu      sync.Mutex
 	address string
@@ -58,7 +64,7 @@
 
 // NewClient returns a client of the service at an address.
 func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
-	return &Client{address: address, clock: x.Clock, tell: x.Members, log: log, quiet: quietWithin, within: headWithin, second: secondAfter,
+	return &Client{address: address, clock: x.Clock, tell: x.Members, heard: x.Heard, unheard: x.Unheard, log: log, quiet: quietWithin, within: headWithin, second: secondAfter,
 		listed: func() int { return x.Cluster().Listed }, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
 }
 
@@ -133,6 +139,13 @@
 // 300 relays, is for a service that answers too many.
 var errSilent = errors.New("the watch has fallen silent")
 
+// errUnreached ends calls whose connections did not come up in time. Discovery has had no work with them, and the time that they
+// took paces them: another is made at once, so that the first to get through is no back-off late.
+var errUnreached = errors.New("discovery cannot be reached")
+
+// errTurnedAway ends a call that discovery did not take, at once: it does not serve.
+var errTurnedAway = errors.New("discovery turned the call away")
+
 // errDoubted ends a call that brought a list which a second call has to confirm.
 var errDoubted = errors.New("a list that takes back what is known")
 
@@ -156,9 +169,10 @@
 			return
 		}
 		again = false
+		c.unheard(errors.Is(err, errTurnedAway))
 		switch {
 		case len(c.moved) > 0:
-		case errors.Is(err, errSilent), errors.Is(err, errDoubted):
+		case errors.Is(err, errSilent), errors.Is(err, errDoubted), errors.Is(err, errUnreached):
 			c.log.Info().Err(err).Msg("asking discovery again at once")
 			again = true
 		case c.Pushed:
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -74,6 +74,7 @@
 	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now(), more)) != nil {
 		return decide.ConnectFailed, decide.NoReport
 	}
+	c.Wrote(a.No)
 	in := newLines(e.Conn)
 	for {
 		e.Until(a.Until)
