Hold the list of servers on a lease that discovery renews

Cause: a relay that did not hear from discovery went by the list it had without an end (lines at fault: Call.Begin and Exchange.send looked at what the list says and never at how old it is). News counts as told 6 s after it was made, whether or not it arrived.

Change: guard.ListLease lapses 5.8 s after discovery was last heard (the sum stands there); then nothing new is sent: the guard denies it before the first byte, and to the module all servers drain until discovery is heard again.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -126,6 +126,8 @@
 		return Allowed
 	case !to.Ready:
 		return ServerNotReady
+	case !list.Valid(now):
+		return ListLapsed
 	}
 	return Allowed
 }
--- a/internal/guard/listlease.go
+++ b/internal/guard/listlease.go
@@ -28,7 +28,7 @@
 	askWithin float64 // the settings' time for asking, 0 where lists are pushed
 	began     float64
 	heard     float64 // when discovery last said something
-	away      float64 // when it last turned a call away at once
+	down      float64 // when it last refused a connection
 	answered  bool    // it has said something since the start
 	watching  bool    // a watch is open, as far as can be told
 	failed    bool    // the last call failed
@@ -37,7 +37,7 @@
 
 // NewListLease returns the lease of a relay that starts with a list from its configuration.
 func NewListLease(now, askWithin float64) ListLease {
-	return ListLease{askWithin: askWithin, began: now, heard: now, away: math.Inf(-1), on: true}
+	return ListLease{askWithin: askWithin, began: now, heard: now, down: math.Inf(-1), on: true}
 }
 
 // Heard renews the lease: discovery has said something on a call that stands, so all that it had to tell before has come.
@@ -45,12 +45,13 @@
 	l.heard, l.answered, l.watching, l.failed = now, true, true, false
 }
 
-// Failed says that a watch has ended or a call brought nothing. One that was turned away at once shows that discovery does not
-// serve: it tells nobody anything, and its news counts anew from its return on. One that hangs, or fails after a wait, shows nothing.
-func (l *ListLease) Failed(now float64, atOnce bool) {
+// Failed says that a watch has ended or a call brought nothing. A refused connection shows that discovery does not serve: it
+// tells nobody anything, and its news counts anew from its return on. A call that hangs, is reset or answered 503 shows nothing, as
+// others may be served.
+func (l *ListLease) Failed(now float64, refused bool) {
 	l.watching, l.failed = false, true
-	if atOnce {
-		l.away = now
+	if refused {
+		l.down = now
 	}
 }
 
@@ -62,7 +63,7 @@
 	if !l.answered && !l.failed && l.askWithin > 0 {
 		return l.began + max(l.askWithin-firstMargin, 0)
 	}
-	return max(l.heard, l.away) + l.term()
+	return max(l.heard, l.down) + l.term()
 }
 
 // Valid tells whether the list may be acted on now.
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -87,11 +87,11 @@
 	x.checkList()
 }
 
-// Unheard says that a call to discovery has ended or brought nothing; atOnce, that it was turned away at once.
-func (x *Exchange) Unheard(atOnce bool) {
+// Unheard says that a call to discovery has ended or brought nothing; refused, that its connection was refused.
+func (x *Exchange) Unheard(refused bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.list.Failed(x.Clock.Now(), atOnce)
+	x.list.Failed(x.Clock.Now(), refused)
 	x.checkList()
 }
 
@@ -133,6 +133,9 @@
 	}
 	x.lapsed = lapsed
 	if lapsed {
-		x.Log.Warn().Float64("list_age_ms", x.list.Age(now)).Msg("the list of servers cannot be confirmed")
+		x.Log.Warn().Float64("list_age_ms", x.list.Age(now)).Msg("the list of servers cannot be confirmed; nothing new is sent by it")
+	}
+	if m := x.roster.setLapsed(lapsed); len(m.Entries) > 0 {
+		x.post(m)
 	}
 }
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -116,6 +116,18 @@
 	return changed
 }
 
+// setLapsed takes in that the list has lapsed, or is confirmed again, and returns what that changes for the module.
+func (r *roster) setLapsed(lapsed bool) decide.Members {
+	r.lapsed = lapsed
+	m := decide.Members{Kind: decide.Delta}
+	for _, s := range r.servers {
+		if r.setMode(s) {
+			m.Entries = append(m.Entries, r.entry(s))
+		}
+	}
+	return m
+}
+
 // entry is the server as the module is told of it.
 func (r *roster) entry(s *Server) decide.Entry {
 	return decide.Entry{Backend: s.Number, Mode: s.mode, Zone: r.site.Zones[s.zone], Cell: s.cell, Spot: ServerKey(s.ID),
--- a/internal/wire/discovery/call.go
+++ b/internal/wire/discovery/call.go
@@ -61,21 +61,18 @@
 	}
 }
 
-// failure is what a call without an answer ends with. One that was refused, or answered that it cannot be served, within
-// turnedAwayWithin shows that discovery is down: a crowded one fails calls that have waited (protocol, Discovery).
+// failure is what a call without an answer ends with. Only a refused connection shows that discovery is down: an answer of 503 and a
+// reset may as well be those of one that serves others and has too many callers (protocol, Discovery).
 func (a *answer) failure() error {
 	switch {
 	case slow(a.err) && !a.dialled:
 		return fmt.Errorf("%w: %w", errUnreached, a.err)
-	case a.took < turnedAwayWithin && (errors.Is(a.err, errStatus) || errors.Is(a.err, syscall.ECONNREFUSED)):
-		return fmt.Errorf("%w: %w", errTurnedAway, a.err)
+	case errors.Is(a.err, syscall.ECONNREFUSED):
+		return fmt.Errorf("%w: %w", errRefused, a.err)
 	}
 	return a.err
 }
 
-// errStatus is an answer of another status than 200.
-var errStatus = errors.New("discovery answered")
-
 // slow tells whether time ran out.
 func slow(err error) bool {
 	var e net.Error
@@ -183,7 +180,7 @@
 		return nil, fmt.Errorf("status line %.60q", status)
 	}
 	if parts[1] != "200" {
-		return nil, fmt.Errorf("%w %s", errStatus, parts[1])
+		return nil, fmt.Errorf("discovery answered %s", parts[1])
 	}
 	length, chunked := int64(math.MaxInt64), false
 	for n := 0; ; n++ {
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -27,9 +27,7 @@
 	dialWithin  = 1500.0 // ms until a connection is up
 	headWithin  = 4000.0 // ms until an answer begins: discovery works through calls in turn
 	secondAfter = 1500.0 // ms without an answer after which a second call is made beside the first
-	// turnedAwayWithin is how soon a call is refused by a service that does not serve.
-	turnedAwayWithin = 200.0
-	quietWithin      = 3000.0 // ms without a line: a watch brings one at least every 2 s
+	quietWithin = 3000.0 // ms without a line: a watch brings one at least every 2 s
 	// pushedAgain is how long after a failed call to the relay's own agent the next one is made, in ms. What the agent has
 	// counts as told whether or not a watch is open, and nobody else calls it.
 	pushedAgain = 100.0
@@ -41,7 +39,7 @@
 	tell  func(decide.ListKind, []memory.Listed)
 	// heard says that discovery has said something on a call that stands; unheard, that a call has ended or brought nothing.
 	heard   func()
-	unheard func(atOnce bool)
+	unheard func(refused bool)
 	log     zerolog.Logger
 	quiet   float64       // quietWithin; tests have shorter ones
 	within  float64       // headWithin, the same
@@ -143,8 +141,8 @@
 // took paces them: another is made at once, so that the first to get through is no back-off late.
 var errUnreached = errors.New("discovery cannot be reached")
 
-// errTurnedAway ends a call that discovery did not take, at once: it does not serve.
-var errTurnedAway = errors.New("discovery turned the call away")
+// errRefused ends a call whose connection was refused: discovery does not serve.
+var errRefused = errors.New("discovery refuses connections")
 
 // errDoubted ends a call that brought a list which a second call has to confirm.
 var errDoubted = errors.New("a list that takes back what is known")
@@ -169,7 +167,7 @@
 			return
 		}
 		again = false
-		c.unheard(errors.Is(err, errTurnedAway))
+		c.unheard(errors.Is(err, errRefused))
 		switch {
 		case len(c.moved) > 0:
 		case errors.Is(err, errSilent), errors.Is(err, errDoubted), errors.Is(err, errUnreached):
