--- a/internal/proving/oldlist_test.go
+++ b/internal/proving/oldlist_test.go
@@ -104,3 +104,45 @@
 		})
 	}
 }
+
+// A server leaves the list and is back within 6 s. Each word counts as told 6 s after it was made at the latest, so from then on the
+// older one may be held against the relay until the newer one must count too; meanwhile nothing new goes to that server (incident of
+// 2026-12-02). Before and after it is used as any other.
+func TestNothingNewWhileAnOlderWordMayCount(t *testing.T) {
+	for _, change := range []string{"Gone", "Terminating"} {
+		t.Run(change, func(t *testing.T) {
+			t.Parallel()
+			g := lay(t, Plan{Relays: 3, Alone: true}, 0)
+			all := servers(t, g, 3)
+			for i := range g.Relays {
+				if err := g.Start(i); err != nil {
+					t.Fatal(err)
+				}
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			var tally Tally
+			done := make(chan struct{})
+			defer func() { stop(); <-done }()
+			go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+			used := func() error {
+				if n := len(all[0].Came(Now()-1000, Now())); n < 5 {
+					return fmt.Errorf("%d connections came to s0 in the last second", n)
+				}
+				return nil
+			}
+			await(t, patience(), "s0 is used", used)
+			const away = 4 * time.Second
+			g.Discovery.Set("s0", all[0].Address, change)
+			gone := Now()
+			time.Sleep(away)
+			g.Discovery.Set("s0", all[0].Address, "Ready")
+			await(t, toldWithin-away-500*time.Millisecond, "s0 is used again at once", used)
+			from, to := gone+float64((toldWithin+drainGrace).Milliseconds()), gone+float64((away+toldWithin).Milliseconds())
+			time.Sleep(time.Duration(to-Now()) * time.Millisecond)
+			if late := all[0].Came(from, to); len(late) > 0 {
+				t.Errorf("%d connections came to s0 while it may count as %s, the first %.2f s after that was made", len(late), change, (late[0]-gone)/1000)
+			}
+			await(t, patience(), "s0 is used in the end", used)
+		})
+	}
+}
