Send nothing to a server that is back while an older word of its leaving may count

Lines at fault: roster.take overwrites what was said of a server, and Call.Begin asks only that.

Change: guard.Notices keeps the last two words about each server; between 6 s after it left and 6 s after it came back (with the lag of a watch and a margin), nothing new goes there. To the module it drains meanwhile.

--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -129,7 +129,6 @@
 	site     *Site
 	roster   roster
 	list     guard.ListLease // of the list of servers; the zero one never lapses
-	lapsed   bool            // the module has been told that it has lapsed
 	calls    map[decide.RequestID]*Call
 	names    map[string]*Call // the calls that have names
 	lastID   decide.RequestID
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -20,7 +20,7 @@
 	if s == nil {
 		return guard.Target{}
 	}
-	return guard.Target{Known: true, Ready: s.mode == decide.Ready, Place: s.place()}
+	return guard.Target{Known: true, Ready: s.mode == decide.Ready, Place: s.place(), Notices: &s.notices}
 }
 
 func (s *Server) place() guard.Place { return guard.Place{Zone: s.zone, Cell: s.cell} }
@@ -81,7 +81,7 @@
 	defer x.mu.Unlock()
 	age := x.list.Age(x.Clock.Now())
 	x.list.Heard(x.Clock.Now())
-	if x.lapsed {
+	if x.roster.lapsed {
 		x.Log.Info().Float64("list_age_ms", age).Msg("the list of servers is confirmed again")
 	}
 	x.checkList()
@@ -123,19 +123,16 @@
 	return f
 }
 
-// checkList tells the module once the list lapses or is confirmed again: to it, servers of a lapsed list drain. They keep what
-// they have and get nothing new. The caller holds the lock.
+// checkList tells the module which servers the list, as time passes, lets be used: to it, those of a lapsed list, and those of which
+// an older word may count, drain. They keep what they have and get nothing new. The caller holds the lock.
 func (x *Exchange) checkList() {
 	now := x.Clock.Now()
 	lapsed := !x.list.Valid(now)
-	if lapsed == x.lapsed {
-		return
-	}
-	x.lapsed = lapsed
-	if lapsed {
+	if lapsed && !x.roster.lapsed {
 		x.Log.Warn().Float64("list_age_ms", x.list.Age(now)).Msg("the list of servers cannot be confirmed; nothing new is sent by it")
 	}
-	if m := x.roster.setLapsed(lapsed); len(m.Entries) > 0 {
+	x.roster.lapsed = lapsed
+	if m := x.roster.refresh(); len(m.Entries) > 0 {
 		x.post(m)
 	}
 }
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 
 	"capersail/decide"
+	"capersail/internal/guard"
 )
 
 // Site is what a relay is configured with: the module's settings, and the numbers that stand for names.
@@ -44,6 +45,7 @@
 	mode    decide.Mode // as the module is told: a server out by hand, or of a list that has lapsed, drains
 	listed  decide.Mode // as the list has it
 	banned  bool        // out by hand
+	notices guard.Notices
 	// unreadyAt is when mode was last seen to leave Ready, on the relay's clock.
 	unreadyAt float64
 	notedAt   float64 // when the module was last told of a slow message there
@@ -78,6 +80,7 @@
 		for _, s := range r.servers {
 			if !listed[s.ID] {
 				s.listed = decide.GoneMode
+				s.notices.Heard(r.clock.Now(), false)
 				r.setMode(s)
 			}
 		}
@@ -92,6 +95,7 @@
 			r.servers = append(r.servers, s)
 		}
 		s.listed, s.Load, s.Resumes, s.started, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Started, l.Zone, l.Cell
+		s.notices.Heard(r.clock.Now(), l.Mode == decide.Ready)
 		r.setMode(s)
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
@@ -101,24 +105,23 @@
 	return m
 }
 
-// setMode sets the mode that the module is told from what is known of a server: out by hand, or by a list that has lapsed, a
-// ready one drains. It tells whether the mode has changed.
+// setMode sets the mode that the module is told from what is known of a server: a ready one drains that is out by hand, stands on a
+// list that has lapsed, or is back while an older word may count. It tells whether the mode has changed.
 func (r *roster) setMode(s *Server) (changed bool) {
-	mode := s.listed
-	if mode == decide.Ready && (s.banned || r.lapsed) {
+	now, mode := r.clock.Now(), s.listed
+	if mode == decide.Ready && (s.banned || r.lapsed || s.notices.Contradict(now)) {
 		mode = decide.Draining
 	}
 	if s.mode == decide.Ready && mode != decide.Ready {
-		s.unreadyAt = r.clock.Now()
+		s.unreadyAt = now
 	}
 	changed = s.mode != mode
 	s.mode = mode
 	return changed
 }
 
-// setLapsed takes in that the list has lapsed, or is confirmed again, and returns what that changes for the module.
-func (r *roster) setLapsed(lapsed bool) decide.Members {
-	r.lapsed = lapsed
+// refresh sets the mode of every server as of now, and returns what that changes for the module.
+func (r *roster) refresh() decide.Members {
 	m := decide.Members{Kind: decide.Delta}
 	for _, s := range r.servers {
 		if r.setMode(s) {
