Soak a few dozen processes under random, overlapping faults, and mend what it shows

Cause: the reproduction plays one fault at a time.

Change: Notices keeps every absence that may still count, with the earliest time at which it can have begun and the latest at which it can have ended, by when discovery was last heard before each word. Lists that are on no lease (XMPP, plug-in) are not held to it. Two faults were the judge's: it held relays to words that they could not have heard (deaf, or started since); the case is narrowed to those that heard, the bound of 6.5 s while the server is away holds for all.

--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,215 @@
+package guard
+
+import (
+	"math"
+	"testing"
+
+	"capersail/decide"
+)
+
+func TestListLease(t *testing.T) {
+	const start, ask = 1000.0, 10_000.0
+	heard := func(at ...float64) func(*ListLease) {
+		return func(l *ListLease) {
+			for _, t := range at {
+				l.Heard(t)
+			}
+		}
+	}
+	failed := func(at float64, refused bool) func(*ListLease) { return func(l *ListLease) { l.Failed(at, refused) } }
+	for _, c := range []struct {
+		name  string
+		ask   float64
+		steps []func(*ListLease)
+		until float64
+	}{
+		{"not asked yet", ask, nil, start + ask - firstMargin},
+		{"pushed, silent from the start", 0, nil, start + listTerm},
+		{"first call failed", ask, []func(*ListLease){failed(2000, false)}, start + listTerm},
+		{"first call refused", ask, []func(*ListLease){failed(2000, true)}, 2000 + listTerm},
+		{"on a watch", ask, []func(*ListLease){heard(2000, 4000)}, 4000 + listTerm},
+		{"the watch ended", ask, []func(*ListLease){heard(2000, 4000), failed(5000, false)}, 4000 + listTerm},
+		{"down since", ask, []func(*ListLease){heard(2000), failed(5000, true)}, 5000 + listTerm},
+		{"heard again", ask, []func(*ListLease){heard(2000), failed(5000, true), heard(9000)}, 9000 + listTerm},
+		{"settings give less without a watch", 1000, []func(*ListLease){heard(2000), failed(2500, false)}, 2000 + failedFactor*1000},
+	} {
+		l := NewListLease(start, c.ask)
+		for _, step := range c.steps {
+			step(&l)
+		}
+		if l.Until() != c.until || !l.Valid(c.until-1) || l.Valid(c.until) {
+			t.Errorf("%s: until %v, want %v", c.name, l.Until(), c.until)
+		}
+		if l.Overdue(c.until+overdueAfter-1) || !l.Overdue(c.until+overdueAfter) {
+			t.Errorf("%s: overdue at another time than %v after the end", c.name, overdueAfter)
+		}
+	}
+	var none ListLease
+	if !none.Valid(math.MaxFloat64) || none.Age(5) != 0 {
+		t.Error("a list on no lease lapses")
+	}
+}
+
+// However words and times fall, a list that is acted on was heard less than told time and grace ago, less the margins.
+func TestNoListIsActedOnThatMayBeOverruled(t *testing.T) {
+	for silence := 0.0; silence < 9000; silence += 50 {
+		l := NewListLease(0, 10_000)
+		l.Heard(3000)
+		l.Failed(3000+silence/2, false)
+		if now := 3000 + silence; l.Valid(now) && silence >= 6000+DrainGrace-300-150 {
+			t.Fatalf("valid %v ms after it was confirmed", silence)
+		}
+	}
+}
+
+func TestNotices(t *testing.T) {
+	const lag = 100.0 // since discovery was last heard before a word
+	for _, c := range []struct {
+		name       string
+		left, back float64
+		deaf       float64 // for how long nothing was heard before the word of the return
+		from, to   float64 // of the time in which words contradict; 0, 0 for none
+	}{
+		{"back within 6 s", 8600, 12_900, lag, 8500 + 5800, 12_900 + 6200},
+		{"back at once", 8600, 8700, lag, 8500 + 5800, 8700 + 6200},
+		{"away for long", 8600, 17_000, lag, 0, 0},
+		{"back at some time while nothing was heard", 8600, 17_000, 7000, 8500 + 5800, 17_000 + 6200},
+	} {
+		var n Notices
+		n.Heard(0, 1, true)
+		n.Heard(c.left-lag, c.left, false)
+		n.Heard(c.left, c.left+10, false)
+		if n.Contradict(c.left + 7000) {
+			t.Errorf("%s: words contradict though the server is away", c.name)
+		}
+		n.Heard(c.back-c.deaf, c.back, true)
+		n.Heard(c.back, c.back+10, true)
+		for at := c.left; at < c.back+10_000; at += 10 {
+			if got, want := n.Contradict(at), at >= c.from && at < c.to; got != want {
+				t.Fatalf("%s: at %v: %v, want %v", c.name, at, got, want)
+			}
+		}
+	}
+	var first Notices
+	first.Heard(0, 100, false) // the first list has it on its way out
+	first.Heard(1900, 2000, true)
+	if !first.Contradict(7000) {
+		t.Error("the first word about a server does not count")
+	}
+	var often Notices
+	often.Heard(0, 1, true)
+	for i := 0.0; i < 20; i++ { // it comes and goes: no older word is forgotten before its time
+		often.Heard(1000+200*i, 1000+200*i, false)
+		often.Heard(1100+200*i, 1100+200*i, true)
+	}
+	for at := 1000 + 5800.0; at < 1100+19*200+6200; at += 10 {
+		if !often.Contradict(at) {
+			t.Fatalf("at %v no word of twenty counts", at)
+		}
+	}
+	var hidden Notices
+	hidden.Heard(0, 1, true)
+	hidden.Heard(900, 1000, false)
+	hidden.Heard(2000, 7000, false) // deaf for 5 s: it may have been back at 4000
+	hidden.Heard(9900, 10_000, true)
+	if !hidden.Contradict(11_000) {
+		t.Error("a return that may have been missed does not count")
+	}
+	var known Notices
+	known.Heard(0, 1, true)
+	if known.Contradict(6000) {
+		t.Error("a server that never left is denied")
+	}
+}
+
+func TestMayTryAndWrite(t *testing.T) {
+	list := NewListLease(0, 0)
+	list.Heard(10_000)
+	target := Target{Known: true, Ready: true, Place: Place{"a", 1}, Notices: &Notices{}}
+	sound := Request{Waiting: true, Effect: decide.Keyed, Window: 1000}
+	with := func(change func(*Request, *Target)) (Request, Target) {
+		r, to := sound, target
+		change(&r, &to)
+		return r, to
+	}
+	repeat := func(r *Request) { r.MayHaveRun, r.RanAt, r.RanOn, r.Attempts = true, 9800, Place{"a", 1}, 1 }
+	for _, c := range []struct {
+		want   Denial
+		change func(*Request, *Target)
+	}{
+		{Allowed, func(*Request, *Target) {}},
+		{Allowed, func(r *Request, _ *Target) { repeat(r) }},
+		{NotWaiting, func(r *Request, _ *Target) { r.Waiting = false }},
+		{ClaimLapsed, func(r *Request, _ *Target) { r.ClaimLapsed = true }},
+		{ServerNotReady, func(_ *Request, to *Target) { to.Ready = false }},
+		{Allowed, func(r *Request, to *Target) { r.Standing, to.Ready = true, false }},
+		{OlderNotice, func(_ *Request, to *Target) {
+			to.Notices = &Notices{past: []absence{{left: 4200, back: 8000}}, known: true, ready: true}
+		}},
+		{MayHaveRun, func(r *Request, _ *Target) { repeat(r); r.Effect = decide.Unsafe }},
+		{WindowOver, func(r *Request, _ *Target) { repeat(r); r.RanAt = 9100 }},
+		{OtherServers, func(r *Request, to *Target) { repeat(r); r.Scope = decide.ScopeZone; to.Place.Zone = "b" }},
+		{OtherServers, func(r *Request, to *Target) { repeat(r); r.Scope = decide.ScopeCell; to.Place.Cell = 2 }},
+		{Allowed, func(r *Request, to *Target) { repeat(r); r.Effect = decide.Safe; r.RanAt = 0 }},
+	} {
+		r, to := with(c.change)
+		if got := MayTry(10_100, r, to, &list); got != c.want {
+			t.Errorf("MayTry(%+v, %+v) = %v, want %v", r, to, got, c.want)
+		}
+		if got := MayWrite(10_100, 11_000, r, to, &list, false); got != c.want {
+			t.Errorf("MayWrite(%+v, %+v) = %v, want %v", r, to, got, c.want)
+		}
+	}
+	if got := MayTry(10_100, Request{Waiting: true, AttemptOut: true}, target, &list); got != AttemptOut {
+		t.Errorf("a second attempt: %v", got)
+	}
+	if got := MayTry(10_100, Request{Waiting: true, Attempts: 2, MostAttempts: 2}, target, &list); got != AttemptsSpent {
+		t.Errorf("a third attempt of two: %v", got)
+	}
+	if got := MayTry(10_100, sound, Target{}, &list); got != ServerNotReady {
+		t.Errorf("to a server that no list has named: %v", got)
+	}
+	if got := MayWrite(11_000, 11_000, sound, target, &list, false); got != TimeOver {
+		t.Errorf("at its deadline: %v", got)
+	}
+	if got := MayWrite(10_100, 11_000, sound, target, &list, true); got != ClientGone {
+		t.Errorf("for a client that has gone: %v", got)
+	}
+	if got := MayTry(10_000+listTerm, sound, target, &list); got != ListLapsed {
+		t.Errorf("by a list that has lapsed: %v", got)
+	}
+}
+
+func TestMayRefuse(t *testing.T) {
+	for _, c := range []struct {
+		r    Request
+		want Denial
+	}{
+		{Request{Effect: decide.Safe, MayHaveRun: true}, Allowed},
+		{Request{Effect: decide.Unsafe}, Allowed},
+		{Request{Effect: decide.Unsafe, MayHaveRun: true}, MayHaveRun},
+		{Request{Effect: decide.Unsafe, AttemptOut: true}, Allowed},
+		{Request{Effect: decide.Unsafe, AttemptOut: true, Begun: true}, MayHaveRun},
+		{Request{Effect: decide.Keyed, MayHaveRun: true}, Allowed},
+		{Request{Effect: decide.Keyed, Scope: decide.ScopeZone, MayHaveRun: true}, MayHaveRun},
+	} {
+		if got := MayRefuse(c.r); got != c.want {
+			t.Errorf("MayRefuse(%+v) = %v, want %v", c.r, got, c.want)
+		}
+	}
+}
+
+func TestNames(t *testing.T) {
+	seen := map[string]bool{}
+	for _, d := range append(Denials(), Allowed) {
+		seen[d.String()] = true
+	}
+	if len(seen) != int(denials) || seen[""] {
+		t.Errorf("denials without names of their own: %v", seen)
+	}
+	for _, r := range Rules() {
+		if r.String() == "" {
+			t.Errorf("rule %d has no name", r)
+		}
+	}
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -241,12 +241,12 @@
 	front := &platform.Front{X: x, Site: c.Site, Gate: door}
 	joint := &seam{front: "platform", relay: c.Name, x: x, clock: clock, platform: front, site: c.Site, lister: lister}
 	all.join(joint)
-	x.Members(decide.Cached, c.Known.Entries)
 	askWithin := 0.0
 	if c.Site.Settings.Ask {
 		askWithin = memory.Millis(c.Site.Settings.Rules.AskWithin)
 	}
 	x.HoldList(askWithin)
+	x.Members(decide.Cached, c.Known.Entries)
 	go lister.Run(ctx, c.Known.Version)
 	core := memory.NewCore(x, c.Seed, lister, log)
 	core.Fleet, core.Shared = joint.fleet, joint.shared
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -194,7 +194,7 @@
 func (x *Exchange) Members(kind decide.ListKind, list []Listed) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.post(x.roster.take(kind, list))
+	x.post(x.roster.take(kind, list, x.list.LastHeard()))
 	if x.Tap != nil {
 		x.tapList(kind)
 	}
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -73,6 +73,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.list = guard.NewListLease(x.Clock.Now(), askWithin)
+	x.roster.leased = true
 }
 
 // Heard says that discovery has said something on a call that stands, and that what it said before has been taken in.
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -66,12 +66,13 @@
 	byID    map[string]*Server
 	servers []*Server       // by number; a server keeps its number for this relay's life
 	out     map[string]bool // the ids of servers that are out by hand
+	leased  bool            // the list is held on a lease, by the platform's rules
 	lapsed  bool            // the list cannot be confirmed, and nothing new is sent by it
 	whole   bool            // a whole list has come from discovery, or one with entries from the configuration
 }
 
-// take writes a list into the roster and returns it in the module's numbers.
-func (r *roster) take(kind decide.ListKind, list []Listed) decide.Members {
+// take writes a list into the roster and returns it in the module's numbers. before is when discovery was last heard before.
+func (r *roster) take(kind decide.ListKind, list []Listed, before float64) decide.Members {
 	if kind != decide.Delta && kind != decide.Failed { // who is not in a whole list is gone
 		listed := map[string]bool{}
 		for _, l := range list {
@@ -80,7 +81,7 @@
 		for _, s := range r.servers {
 			if !listed[s.ID] {
 				s.listed = decide.GoneMode
-				s.notices.Heard(r.clock.Now(), false)
+				r.notice(s, before)
 				r.setMode(s)
 			}
 		}
@@ -95,7 +96,7 @@
 			r.servers = append(r.servers, s)
 		}
 		s.listed, s.Load, s.Resumes, s.started, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Started, l.Zone, l.Cell
-		s.notices.Heard(r.clock.Now(), l.Mode == decide.Ready)
+		r.notice(s, before)
 		r.setMode(s)
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
@@ -105,6 +106,13 @@
 	return m
 }
 
+// notice keeps what a list says of a server now, where lists are held on a lease.
+func (r *roster) notice(s *Server, before float64) {
+	if r.leased {
+		s.notices.Heard(before, r.clock.Now(), s.listed == decide.Ready)
+	}
+}
+
 // setMode sets the mode that the module is told from what is known of a server: a ready one drains that is out by hand, stands on a
 // list that has lapsed, or is back while an older word may count. It tells whether the mode has changed.
 func (r *roster) setMode(s *Server) (changed bool) {
--- /dev/null
+++ b/internal/proving/judge.go
@@ -0,0 +1,214 @@
+package proving
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"capersail/decide"
+)
+
+// The times by which a Judge goes are those of the protocol page, in ms.
+const (
+	toldBy         = 6000.0 // a change counts as told so long after it was made, whether or not it arrived
+	drainWithin    = 550.0  // and nothing new goes to the server so long after that
+	arrivesWithin  = 400.0  // on a sound watch a change is told much sooner
+	answerBy       = 500.0  // an answer may be so late; later it is lost
+	goneWithin     = 300.0  // an attempt may begin 100 ms after its client closed; a process may be held up for 150, and the judge for the rest
+	clientPatience = 2000.0 // d of every request
+)
+
+// Request is one request as its client saw it.
+type Request struct {
+	ID       string
+	Relay    int
+	Effect   decide.Effect
+	Sent     float64 // when its last byte was written; 0 if it never was
+	Answer   string  // the first word of its answer, "" for none
+	Answered float64 // when that came, or the connection ended without
+	Closed   float64 // when the client closed, 0 if the other side did
+}
+
+// Absence is a time in which a server drained or was gone by what discovery had.
+type Absence struct {
+	Server   string
+	From, To float64 // To is 0 while it lasts
+}
+
+// Span is a time in which something was disturbed.
+type Span struct{ From, To float64 }
+
+func (s Span) meets(from, to float64) bool { return s.From <= to && (s.To == 0 || s.To >= from) }
+
+// Judge holds what clients and servers saw against the rules.
+type Judge struct {
+	KeyedWindow float64
+
+	mu       sync.Mutex
+	requests map[string]*Request
+	absences []*Absence
+	deaf     map[int][]*Span // when a relay's way to discovery was disturbed, or its process had just started
+	dead     map[int][]*Span // when its process was killed, or stopped
+	starts   map[int][]float64
+}
+
+// NewJudge returns a Judge that has seen nothing.
+func NewJudge(keyedWindow float64) *Judge {
+	return &Judge{KeyedWindow: keyedWindow, requests: map[string]*Request{}, deaf: map[int][]*Span{}, dead: map[int][]*Span{},
+		starts: map[int][]float64{}}
+}
+
+// Asked takes in a request that has ended.
+func (j *Judge) Asked(r Request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.requests[r.ID] = &r
+}
+
+// Leaves notes that a server drains or is gone from now on; back, that it is ready again.
+func (j *Judge) Leaves(server string) (back func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := &Absence{Server: server, From: Now()}
+	j.absences = append(j.absences, a)
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		a.To = Now()
+	}
+}
+
+// Deaf notes that a relay may not hear discovery from now on; end, that it may again.
+func (j *Judge) Deaf(relay int) (end func()) { return j.disturb(j.deaf, relay) }
+
+// Starts notes that a relay's process starts now, with nothing in its memory.
+func (j *Judge) Starts(relay int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts[relay] = append(j.starts[relay], Now())
+}
+
+// remembers tells whether a relay could hear a word at a moment, and still has it in its memory at another.
+func (j *Judge) remembers(relay int, from, at float64) bool {
+	forgot := slices.ContainsFunc(j.starts[relay], func(start float64) bool { return start >= from && start <= at })
+	return !forgot && !disturbed(j.deaf[relay], from, from+arrivesWithin)
+}
+
+// Dead notes that a relay's process is ended by force or stopped from now on; end, that this is over.
+func (j *Judge) Dead(relay int) (end func()) { return j.disturb(j.dead, relay) }
+
+func (j *Judge) disturb(spans map[int][]*Span, relay int) (end func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := &Span{From: Now()}
+	spans[relay] = append(spans[relay], s)
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		s.To = Now()
+	}
+}
+
+func disturbed(spans []*Span, from, to float64) bool {
+	return slices.ContainsFunc(spans, func(s *Span) bool { return s.meets(from, to) })
+}
+
+// Verdict lists what broke a rule, each with the rule's name before it.
+func (j *Judge) Verdict(arrivals []Arrival) (broken []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	slices.SortFunc(arrivals, func(a, b Arrival) int { return int(a.At*1000) - int(b.At*1000) })
+	byID := map[string][]Arrival{}
+	for _, a := range arrivals {
+		byID[a.ID] = append(byID[a.ID], a)
+		r := j.requests[a.ID]
+		if r == nil {
+			broken = append(broken, fmt.Sprintf("unknown: %s came to %s, and no client sent it", a.ID, a.Server))
+			continue
+		}
+		broken = append(broken, j.drain(r, a)...)
+		if r.Closed > 0 && a.At > r.Closed+goneWithin {
+			broken = append(broken, fmt.Sprintf("lost: %s came to %s %.0f ms after its client closed", a.ID, a.Server, a.At-r.Closed))
+		}
+	}
+	for id, attempts := range byID {
+		if r := j.requests[id]; r != nil {
+			broken = append(broken, j.duplicates(r, attempts)...)
+		}
+	}
+	for _, r := range j.requests {
+		broken = append(broken, j.lost(r)...)
+	}
+	slices.Sort(broken)
+	return broken
+}
+
+// drain checks an attempt against all absences of its server. While the server is away, every relay is held to that once it counts as
+// told. After its return only those are held to the older word that have heard it and have not been started anew: to the others no list has told of it.
+func (j *Judge) drain(r *Request, a Arrival) (broken []string) {
+	for _, gone := range j.absences {
+		if gone.Server != a.Server || a.At < gone.From {
+			continue
+		}
+		since := a.At - gone.From
+		away := gone.To == 0 || a.At < gone.To
+		told := since > toldBy+drainWithin || since > arrivesWithin+drainWithin && !disturbed(j.deaf[r.Relay], gone.From-toldBy, a.At)
+		switch {
+		case away && told:
+			broken = append(broken, fmt.Sprintf("drain: %s of relay %d came to %s %.2f s after it left", a.ID, r.Relay, a.Server, since/1000))
+		case !away && j.remembers(r.Relay, gone.From, a.At) && gone.To-gone.From < toldBy && since > toldBy+drainWithin && a.At < gone.To+toldBy:
+			broken = append(broken, fmt.Sprintf("drain: %s of relay %d came to %s %.2f s after it left, and it was back after %.2f s; deaf %s", a.ID, r.Relay, a.Server,
+				since/1000, (gone.To-gone.From)/1000, spell(j.deaf[r.Relay], gone.From)))
+		}
+	}
+	return broken
+}
+
+// duplicates checks the attempts of one request, in the order of their arrival.
+func (j *Judge) duplicates(r *Request, attempts []Arrival) (broken []string) {
+	for i := 1; i < len(attempts); i++ {
+		first, last := attempts[i-1], attempts[i]
+		if first.End == 0 || first.End > last.At+5 {
+			broken = append(broken, fmt.Sprintf("duplicate: %s is out at %s and at %s", r.ID, first.Server, last.Server))
+		}
+	}
+	ran := slices.IndexFunc(attempts, func(a Arrival) bool { return a.Ran })
+	if ran < 0 || r.Effect == decide.Safe {
+		return broken
+	}
+	if r.Effect == decide.Unsafe && r.Answer == "BUSY" {
+		broken = append(broken, fmt.Sprintf("duplicate: %s was refused though it may have run at %s", r.ID, attempts[ran].Server))
+	}
+	for _, again := range attempts[ran+1:] {
+		if r.Effect == decide.Unsafe || again.At-attempts[ran].At > j.KeyedWindow+goneWithin {
+			broken = append(broken, fmt.Sprintf("duplicate: %s ran at %s and came to %s %.0f ms later", r.ID, attempts[ran].Server, again.Server, again.At-attempts[ran].At))
+		}
+	}
+	return broken
+}
+
+// lost checks that a request has its one answer in time. A process that was killed or stopped meanwhile owes none.
+func (j *Judge) lost(r *Request) (broken []string) {
+	switch {
+	case r.Sent == 0, r.Closed > 0, disturbed(j.dead[r.Relay], r.Sent-100, r.Answered):
+	case r.Answer == "":
+		broken = append(broken, fmt.Sprintf("lost: %s of relay %d was closed on with no answer after %.2f s", r.ID, r.Relay, (r.Answered-r.Sent)/1000))
+	case r.Answered > r.Sent+clientPatience+answerBy:
+		broken = append(broken, fmt.Sprintf("lost: %s of relay %d had %s after %.2f s", r.ID, r.Relay, r.Answer, (r.Answered-r.Sent)/1000))
+	}
+	return broken
+}
+
+// spell writes spans as seconds from a moment on.
+func spell(spans []*Span, from float64) string {
+	var text strings.Builder
+	for _, s := range spans {
+		fmt.Fprintf(&text, "[%.2f to %.2f]", (s.From-from)/1000, (s.To-from)/1000)
+	}
+	return text.String()
+}
+
+// wait sleeps for ms.
+func wait(ms float64) { time.Sleep(time.Duration(ms * float64(time.Millisecond))) }
