--- a/internal/memory/clock.go
+++ b/internal/memory/clock.go
@@ -17,10 +17,12 @@
 	origin time.Time
 	manual bool
 	set    atomic.Uint64 // bits of the time of a clock that tests set
+	// stepped: bits of how far the clock of the day of such a clock is off.
+	stepped atomic.Uint64
 }
 
 // NewClock returns a clock that runs.
-func NewClock() *Clock { return &Clock{origin: begin()} }
+func NewClock() *Clock { return &Clock{origin: timeOfDay()} }
 
 // NewSetClock returns a clock that stands still.
 func NewSetClock() *Clock {
@@ -40,14 +42,30 @@
 	return clockStart + float64(c.since().Nanoseconds())/1e6
 }
 
-// FromUnix turns Unix time in milliseconds into this clock's; 0 stays 0, for long ago.
+// FromUnix turns the Unix time in milliseconds of something that has happened into this clock's; 0 stays 0, for long ago. The clock of
+// the day may have been stepped since the process started, here alone or on all machines. So it goes by both readings, that of the
+// start and that of now, and takes the later time: what has just happened is never taken for old, and nothing lies ahead.
 func (c *Clock) FromUnix(ms float64) float64 {
 	if ms == 0 {
 		return 0
 	}
-	return clockStart + ms - float64(c.origin.UnixNano())/1e6
+	now := c.Now()
+	byStart := clockStart + ms - float64(c.origin.UnixNano())/1e6
+	byDay := now + ms - c.day()
+	return min(max(byStart, byDay), now)
 }
 
+// day is the clock of the day now, as Unix time in milliseconds.
+func (c *Clock) day() float64 {
+	if c.manual {
+		return c.Unix(c.Now()) + math.Float64frombits(c.stepped.Load())
+	}
+	return float64(timeOfDay().UnixNano()) / 1e6
+}
+
+// StepDay steps the clock of the day of a clock made by NewSetClock, by ms from where it would be.
+func (c *Clock) StepDay(ms float64) { c.stepped.Store(math.Float64bits(ms)) }
+
 // Unix turns this clock's time into Unix time in milliseconds, by the one origin that was read at the start: it
 // does not step with the clock of the day.
 func (c *Clock) Unix(ms float64) float64 { return ms - clockStart + float64(c.origin.UnixNano())/1e6 }
--- a/internal/memory/clock_faults.go
+++ b/internal/memory/clock_faults.go
@@ -14,5 +14,5 @@
 // since is how long ago the process began, by a clock that may run fast or slow.
 func (c *Clock) since() time.Duration { return fault.Shown() - started }
 
-// begin is when the process began, by a clock of the day that may be off.
-func begin() time.Time { return time.Now().Add(fault.Step()) }
+// timeOfDay is the clock of the day, which may be off.
+func timeOfDay() time.Time { return time.Now().Add(fault.Step()) }
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -52,6 +52,7 @@
 	now       *Server // the roster's own, of which an attempt holds a copy
 
 	started   float64 // Unix ms, as the list has it
+	since     float64 // the same on the relay's clock, as of when the list first had it
 	zone      string
 	cell      int32
 	told      bool // the tap knows mode and start
@@ -95,7 +96,10 @@
 			r.byID[l.ID] = s
 			r.servers = append(r.servers, s)
 		}
-		s.listed, s.Load, s.Resumes, s.started, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Started, l.Zone, l.Cell
+		s.listed, s.Load, s.Resumes, s.zone, s.cell = l.Mode, l.Load, l.Resumes, l.Zone, l.Cell
+		if s.started != l.Started {
+			s.started, s.since = l.Started, r.clock.FromUnix(l.Started)
+		}
 		r.notice(s, before)
 		r.setMode(s)
 		if l.Address != "" { // an entry that says Gone may come without one
@@ -142,5 +146,5 @@
 // entry is the server as the module is told of it.
 func (r *roster) entry(s *Server) decide.Entry {
 	return decide.Entry{Backend: s.Number, Mode: s.mode, Zone: r.site.Zones[s.zone], Cell: s.cell, Spot: ServerKey(s.ID),
-		Since: Duration(r.clock.FromUnix(s.started))}
+		Since: Duration(s.since)}
 }
--- a/internal/memory/taps.go
+++ b/internal/memory/taps.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		s.told, s.toldMode, s.toldStart = true, s.mode, s.started
-		x.Tap.Put(&tap.Record{At: now, Kind: tap.List, Server: int32(s.Number), Mode: s.mode, Since: x.Clock.FromUnix(s.started), Load: -1})
+		x.Tap.Put(&tap.Record{At: now, Kind: tap.List, Server: int32(s.Number), Mode: s.mode, Since: s.since, Load: -1})
 	}
 }
 
