--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -27,6 +27,8 @@
 		{"nothing has changed", `{"generation":3,"reset":false,"instances":[]}`, 0, false},
 		{"one", `{"generation":3,"reset":true,"instances":[` + ready + `]}`, 1, false},
 		{"gone without an address", `{"instances":[{"instanceId":"s-1","lifecycle":"Gone"}]}`, 1, false},
+		{"draining at no address", `{"instances":[{"instanceId":"s-1","lifecycle":"Terminating","hostPort":"nowhere"}]}`, 1, false},
+		{"draining with no address", `{"instances":[{"instanceId":"s-1","lifecycle":"Terminating"}]}`, 1, false},
 		{"bad ones are skipped", `{"instances":[{"instanceId":7},{"lifecycle":"Ready"},3,` + ready + `,` +
 			`{"instanceId":"x","lifecycle":"Ready","hostPort":"nowhere"},{"instanceId":"x","lifecycle":"Odd"}]}`, 1, false},
 		{"not an array", `{"instances":7}`, 0, true},
--- a/internal/wire/discovery/list.go
+++ b/internal/wire/discovery/list.go
@@ -115,10 +115,11 @@
 	default:
 		return l, fmt.Errorf("lifecycle %q", mode)
 	}
-	if l.Mode != decide.GoneMode {
-		if _, _, err := net.SplitHostPort(l.Address); err != nil {
+	if _, _, err := net.SplitHostPort(l.Address); err != nil {
+		if l.Mode == decide.Ready {
 			return l, fmt.Errorf("hostPort: %w", err)
 		}
+		l.Address = "" // that it takes nothing new counts all the same; what is known of its address stays
 	}
 	return l, nil
 }
