--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -125,21 +125,23 @@
 	Violations guard.Violations
 	Denied     guard.Denied
 
-	mu       sync.Mutex
-	site     *Site
-	roster   roster
-	list     guard.ListLease // of the list of servers; the zero one never lapses
-	calls    map[decide.RequestID]*Call
-	names    map[string]*Call // the calls that have names
-	lastID   decide.RequestID
-	arrived  atomic.Uint64
-	shunned  atomic.Int64 // as of the last sweep
-	inbox    []decide.Event
-	ready    chan struct{} // holds one token while the inbox has something
-	leaving  bool          // at SIGTERM, for good
-	draining bool          // by hand, until it is called off
-	servers  Servers
-	figures  figures
+	mu     sync.Mutex
+	site   *Site
+	roster roster
+	list   guard.ListLease // of the list of servers; the zero one never lapses
+	// lookedAt is when this process last looked at its list, wakesUntil until when it may read what came while it was stopped.
+	lookedAt, wakesUntil float64
+	calls                map[decide.RequestID]*Call
+	names                map[string]*Call // the calls that have names
+	lastID               decide.RequestID
+	arrived              atomic.Uint64
+	shunned              atomic.Int64 // as of the last sweep
+	inbox                []decide.Event
+	ready                chan struct{} // holds one token while the inbox has something
+	leaving              bool          // at SIGTERM, for good
+	draining             bool          // by hand, until it is called off
+	servers              Servers
+	figures              figures
 }
 
 // Call is one request. Its fields are the Exchange's; both sides use its methods.
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -73,21 +73,42 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.list = guard.NewListLease(x.Clock.Now(), askWithin)
-	x.roster.leased = true
+	x.roster.leased, x.lookedAt = true, x.Clock.Now()
 }
 
-// Heard says that discovery has said something on a call that stands, and that what it said before has been taken in.
+const (
+	// stoppedAfter is how long nothing runs here before the process counts as having been stopped: the core loop looks each sweepEvery.
+	stoppedAfter = 4 * sweepEvery
+	// wakeWithin is how long after that lines may come that were written meanwhile.
+	wakeWithin = 200.0
+)
+
+// Heard says that discovery has said something on a call that stands, and that what it said before has been taken in. What is read
+// as a stopped process wakes may have waited for it all the while, so it confirms nothing: the next line does.
 func (x *Exchange) Heard() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	age := x.list.Age(x.Clock.Now())
-	x.list.Heard(x.Clock.Now())
+	now := x.Clock.Now()
+	if x.noticeStop(now); now < x.wakesUntil {
+		return
+	}
+	age := x.list.Age(now)
+	x.list.Heard(now)
 	if x.roster.lapsed {
 		x.Log.Info().Float64("list_age_ms", age).Msg("the list of servers is confirmed again")
 	}
 	x.checkList()
 }
 
+// noticeStop notices that the process has been stopped. The caller holds the lock.
+func (x *Exchange) noticeStop(now float64) {
+	if x.roster.leased && now-x.lookedAt > stoppedAfter {
+		x.Log.Warn().Float64("stopped_ms", now-x.lookedAt).Msg("this process has been stopped")
+		x.wakesUntil = now + wakeWithin
+	}
+	x.lookedAt = now
+}
+
 // Unheard says that a call to discovery has ended or brought nothing; refused, that its connection was refused.
 func (x *Exchange) Unheard(refused bool) {
 	x.mu.Lock()
--- a/internal/memory/silence.go
+++ b/internal/memory/silence.go
@@ -16,6 +16,7 @@
 func (x *Exchange) sweep() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.noticeStop(x.Clock.Now())
 	x.checkList()
 	now := x.Clock.Now()
 	for _, c := range x.calls {
