Count servers that the guard withholds among those the relay avoids

Cause: relay_cluster_unhealthy counts what the relay avoids by hand or by choice; a server on a lapsed list, or back while an older word may count, is avoided too.

Change: Cluster.Withheld, added in the figure.

Measured: TestOldLinesConfirmNothing holds it; tests of memory and admin pass.

--- a/internal/admin/figures.go
+++ b/internal/admin/figures.go
@@ -101,7 +101,7 @@
 		current += float64(fr.Source.Current())
 		cluster := fr.Source.Cluster()
 		size += float64(cluster.Listed)
-		unhealthy += float64(cluster.Banned + cluster.Shunned)
+		unhealthy += float64(cluster.Banned + cluster.Shunned + cluster.Withheld)
 	}
 	for _, name := range order {
 		s := byName[name]
--- a/internal/memory/guarded_test.go
+++ b/internal/memory/guarded_test.go
@@ -47,6 +47,9 @@
 	if x.Listed("s") || !x.Rules().ListLapsed {
 		t.Error("the list does not lapse")
 	}
+	if c := x.Cluster(); c.Listed != 1 || c.Withheld != 1 {
+		t.Errorf("of one server on a lapsed list %d are listed and %d withheld", c.Listed, c.Withheld)
+	}
 	x.Unheard(true)
 	if !x.Listed("s") {
 		t.Error("a discovery that refuses connections leaves no list in force")
--- a/internal/memory/ops.go
+++ b/internal/memory/ops.go
@@ -83,6 +83,8 @@
 	Listed  int // in the list, ready or draining
 	Banned  int // of those, out by hand
 	Shunned int // of those that are ready, the ones the module avoids by its own choice
+	// Withheld are those that the list calls ready and the guard keeps from what is new.
+	Withheld int
 }
 
 // Cluster counts the servers in the list.
@@ -93,8 +95,11 @@
 	for _, s := range x.roster.servers {
 		if s.listed != decide.GoneMode {
 			c.Listed++
-			if s.banned {
+			switch {
+			case s.banned:
 				c.Banned++
+			case s.listed == decide.Ready && s.mode != decide.Ready:
+				c.Withheld++
 			}
 		}
 	}
