--- a/internal/proving/oldlist_test.go
+++ b/internal/proving/oldlist_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
+
+	"capersail/internal/standin"
 )
 
 const (
@@ -146,3 +149,41 @@
 		})
 	}
 }
+
+// A relay starts with the list that it last had, in which a server stands that has been gone for long; its first call to discovery is
+// spread over seconds, as all relays may start at once. Nothing goes to that server, and the others are used once discovery is heard.
+func TestNothingNewByTheListOfTheStart(t *testing.T) {
+	g := lay(t, Plan{Relays: 3, Alone: true, Settings: map[string]any{"balancers": 300}}, 0)
+	all := servers(t, g, 3)
+	var known []json.RawMessage
+	for _, s := range all {
+		known = append(known, json.RawMessage(standin.Entry(s.ID, s.Address, "Ready")))
+	}
+	g.Discovery.Set("s0", all[0].Address, "Gone")
+	wait(toldBy + drainWithin)
+	for i := range g.Relays {
+		if err := g.Reconfigure(i, map[string]any{"known": map[string]any{"generation": 1, "reset": true, "instances": known}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var tally Tally
+	done := make(chan struct{})
+	defer func() { stop(); <-done }()
+	go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+	await(t, patience(), "the others are used", func() error {
+		for _, s := range all[1:] {
+			if n := len(s.Came(Now()-1000, Now())); n < 10 {
+				return fmt.Errorf("%d connections came to %s in the last second", n, s.ID)
+			}
+		}
+		return nil
+	})
+	wait(7500) // by then every relay has asked
+	if late := all[0].Came(0, Now()); len(late) > 0 {
+		t.Errorf("%d connections came to a server that was gone before the relays started", len(late))
+	}
+}
