Send nothing by the list of the start before discovery is heard: the incident's cause

Change: the list of the start confirms nothing (guard.ListLease); nothing new is sent until discovery is heard, or refuses connections. The first call is made in the fleet's turns alone, without the floor of an eighth of the time for asking, and sooner where a request finds no server (decide/discovery.go).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -109,7 +109,7 @@
 	if e.Kind != Cached { // any list is an answer
 		b.asked = 0
 	} else if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
-		b.wake(wakeDiscovery, 0, time.Duration(b.jitter*float64(max(b.set.Rules.AskWithin/8, b.turns()))))
+		b.askInTurn()
 	}
 	if e.Kind != Delta { // who is not in a whole list is gone
 		for i := range b.fleet {
@@ -124,11 +124,6 @@
 	}
 }
 
-// turns is how long all relays take to call discovery, which works through calls in turn, those given up too.
-func (b *Balancer) turns() time.Duration {
-	return min(b.set.Rules.AskWithin/callsAWhile*time.Duration(b.set.Relays), b.set.Rules.AskWithin*3/4)
-}
-
 // ready places a request at once if the pool is fresh; else the pool is topped up first.
 func (b *Balancer) ready(r *request) {
 	r.need = b.ask(r.Group)
@@ -422,6 +417,7 @@
 	}
 	switch {
 	case pick < 0:
+		b.askSooner()
 		b.turnAway(r, NoServer)
 		return
 	case !b.admit(&b.fleet[pick]):
@@ -622,7 +618,7 @@
 		}
 		b.watch()
 	case wakeDiscovery:
-		b.do(Subscribe{})
+		b.subscribe(id)
 	case wakeShift:
 		b.shift(Backend(id), &b.fleet[id])
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -90,8 +90,10 @@
 	recentAt time.Duration
 	keys     failures
 	watching bool
-	late     int // set-ups timed out since the last that came
-	asked    int // failed calls to discovery in a row
+	late     int  // set-ups timed out since the last that came
+	asked    int  // failed calls to discovery in a row
+	first    bool // the first call to discovery is still to be made
+	sooner   bool // and is to be made before its turn
 	talk     Fleet
 	prunedAt time.Duration // when the pool was pruned
 	atHome   int           // and how many of it were of this relay's zone
--- a/internal/guard/listlease.go
+++ b/internal/guard/listlease.go
@@ -18,16 +18,14 @@
 	overdueAfter = 6000 + DrainGrace - listTerm
 	// failedFactor is by how much longer a relay is held to its list after a call that failed.
 	failedFactor = 4
-	// firstMargin is how long before the settings' time for asking is over the list of the start lapses.
-	firstMargin = 500.0
 )
 
-// ListLease says until when the list of servers that a relay holds may be acted on. It has no clock and no lock: times are
-// milliseconds on the caller's monotonic clock.
+// ListLease says until when the list of servers that a relay holds may be acted on. The list that a process starts with is of a time
+// that nobody knows, so it is not acted on before discovery has been heard. ListLease has no clock and no lock: times are milliseconds
+// on the caller's monotonic clock.
 type ListLease struct {
 	askWithin float64 // the settings' time for asking, 0 where lists are pushed
-	began     float64
-	heard     float64 // when discovery last said something
+	heard     float64 // when discovery last said something, or the process started
 	down      float64 // when it last refused a connection
 	answered  bool    // it has said something since the start
 	watching  bool    // a watch is open, as far as can be told
@@ -37,7 +35,7 @@
 
 // NewListLease returns the lease of a relay that starts with a list from its configuration.
 func NewListLease(now, askWithin float64) ListLease {
-	return ListLease{askWithin: askWithin, began: now, heard: now, down: math.Inf(-1), on: true}
+	return ListLease{askWithin: askWithin, heard: now, down: math.Inf(-1), on: true}
 }
 
 // Heard renews the lease: discovery has said something on a call that stands, so all that it had to tell before has come.
@@ -63,8 +61,8 @@
 	if !l.on {
 		return math.Inf(1)
 	}
-	if !l.answered && !l.failed && l.askWithin > 0 {
-		return l.began + max(l.askWithin-firstMargin, 0)
+	if !l.answered {
+		return max(l.heard, l.down+l.term())
 	}
 	return max(l.heard, l.down) + l.term()
 }
