--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,7 +21,6 @@
 	ClientGone            // the client has closed, or has spoilt its request
 	ServerNotReady        // the server drains, is out by hand or is gone
 	ListLapsed            // the list of servers cannot be confirmed
-	OlderNotice           // the server is back, and an older word that it has left may count
 	MayHaveRun            // an earlier attempt may have run, and the class must not run twice
 	WindowOver            // the time in which servers know a repeat again is over
 	OtherServers          // the server does not know the keys of the one where an earlier attempt may have run
@@ -32,7 +31,7 @@
 )
 
 var denialNames = [denials]string{"allowed", "not waiting", "attempt out", "attempts spent", "time over", "client gone",
-	"server not ready", "list lapsed", "older notice", "may have run", "window over", "other servers", "relay leaving", "name taken", "claim lapsed"}
+	"server not ready", "list lapsed", "may have run", "window over", "other servers", "relay leaving", "name taken", "claim lapsed"}
 
 // String is the denial as logs and figures have it.
 func (d Denial) String() string {
@@ -75,10 +74,9 @@
 
 // Target is the server that something is to be sent to, by the newest list.
 type Target struct {
-	Known   bool
-	Ready   bool
-	Place   Place
-	Notices *Notices
+	Known bool
+	Ready bool
+	Place Place
 }
 
 // MayTry tells whether an attempt may be started: a dial, of which nothing is sent yet.
@@ -130,8 +128,6 @@
 		return ServerNotReady
 	case !list.Valid(now):
 		return ListLapsed
-	case to.Notices.Contradict(now):
-		return OlderNotice
 	}
 	return Allowed
 }
--- a/internal/guard/listlease.go
+++ b/internal/guard/listlease.go
@@ -43,9 +43,6 @@
 	l.heard, l.answered, l.watching, l.failed = now, true, true, false
 }
 
-// LastHeard is when discovery last said something, or the relay began.
-func (l *ListLease) LastHeard() float64 { return l.heard }
-
 // Failed says that a watch has ended or a call brought nothing. A refused connection shows that discovery does not serve: it
 // tells nobody anything, and its news counts anew from its return on. A call that hangs, is reset or answered 503 shows nothing, as
 // others may be served.
--- a/internal/memory/exchange.go
+++ b/internal/memory/exchange.go
@@ -131,6 +131,7 @@
 	list   guard.ListLease // of the list of servers; the zero one never lapses
 	// lookedAt is when this process last looked at its list, wakesUntil until when it may read what came while it was stopped.
 	lookedAt, wakesUntil float64
+	leased               bool // the list is held on a lease, by the platform's rules
 	calls                map[decide.RequestID]*Call
 	names                map[string]*Call // the calls that have names
 	lastID               decide.RequestID
@@ -196,7 +197,7 @@
 func (x *Exchange) Members(kind decide.ListKind, list []Listed) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.post(x.roster.take(kind, list, x.list.LastHeard()))
+	x.post(x.roster.take(kind, list))
 	if x.Tap != nil {
 		x.tapList(kind)
 	}
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -20,7 +20,7 @@
 	if s == nil {
 		return guard.Target{}
 	}
-	return guard.Target{Known: true, Ready: s.mode == decide.Ready, Place: s.place(), Notices: &s.notices}
+	return guard.Target{Known: true, Ready: s.mode == decide.Ready, Place: s.place()}
 }
 
 func (s *Server) place() guard.Place { return guard.Place{Zone: s.zone, Cell: s.cell} }
@@ -73,7 +73,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.list = guard.NewListLease(x.Clock.Now(), askWithin)
-	x.roster.leased, x.lookedAt = true, x.Clock.Now()
+	x.leased, x.lookedAt = true, x.Clock.Now()
 }
 
 const (
@@ -102,7 +102,7 @@
 
 // noticeStop notices that the process has been stopped. The caller holds the lock.
 func (x *Exchange) noticeStop(now float64) {
-	if x.roster.leased && now-x.lookedAt > stoppedAfter {
+	if x.leased && now-x.lookedAt > stoppedAfter {
 		x.Log.Warn().Float64("stopped_ms", now-x.lookedAt).Msg("this process has been stopped")
 		x.wakesUntil = now + wakeWithin
 	}
@@ -145,8 +145,8 @@
 	return f
 }
 
-// checkList tells the module which servers the list, as time passes, lets be used: to it, those of a lapsed list, and those of which
-// an older word may count, drain. They keep what they have and get nothing new. The caller holds the lock.
+// checkList tells the module once the list lapses or is confirmed again: to it, servers of a lapsed list drain. They keep what they
+// have and get nothing new. The caller holds the lock.
 func (x *Exchange) checkList() {
 	now := x.Clock.Now()
 	lapsed := !x.list.Valid(now)
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -4,7 +4,6 @@
 	"hash/fnv"
 
 	"capersail/decide"
-	"capersail/internal/guard"
 )
 
 // Site is what a relay is configured with: the module's settings, and the numbers that stand for names.
@@ -45,7 +44,6 @@
 	mode    decide.Mode // as the module is told: a server out by hand, or of a list that has lapsed, drains
 	listed  decide.Mode // as the list has it
 	banned  bool        // out by hand
-	notices guard.Notices
 	// unreadyAt is when mode was last seen to leave Ready, on the relay's clock.
 	unreadyAt float64
 	notedAt   float64 // when the module was last told of a slow message there
@@ -67,13 +65,12 @@
 	byID    map[string]*Server
 	servers []*Server       // by number; a server keeps its number for this relay's life
 	out     map[string]bool // the ids of servers that are out by hand
-	leased  bool            // the list is held on a lease, by the platform's rules
 	lapsed  bool            // the list cannot be confirmed, and nothing new is sent by it
 	whole   bool            // a whole list has come from discovery, or one with entries from the configuration
 }
 
-// take writes a list into the roster and returns it in the module's numbers. before is when discovery was last heard before.
-func (r *roster) take(kind decide.ListKind, list []Listed, before float64) decide.Members {
+// take writes a list into the roster and returns it in the module's numbers.
+func (r *roster) take(kind decide.ListKind, list []Listed) decide.Members {
 	if kind != decide.Delta && kind != decide.Failed { // who is not in a whole list is gone
 		listed := map[string]bool{}
 		for _, l := range list {
@@ -82,7 +79,6 @@
 		for _, s := range r.servers {
 			if !listed[s.ID] {
 				s.listed = decide.GoneMode
-				r.notice(s, before)
 				r.setMode(s)
 			}
 		}
@@ -100,7 +96,6 @@
 		if s.started != l.Started {
 			s.started, s.since = l.Started, r.clock.FromUnix(l.Started)
 		}
-		r.notice(s, before)
 		r.setMode(s)
 		if l.Address != "" { // an entry that says Gone may come without one
 			s.Address = l.Address
@@ -110,18 +105,11 @@
 	return m
 }
 
-// notice keeps what a list says of a server now, where lists are held on a lease.
-func (r *roster) notice(s *Server, before float64) {
-	if r.leased {
-		s.notices.Heard(before, r.clock.Now(), s.listed == decide.Ready)
-	}
-}
-
-// setMode sets the mode that the module is told from what is known of a server: a ready one drains that is out by hand, stands on a
-// list that has lapsed, or is back while an older word may count. It tells whether the mode has changed.
+// setMode sets the mode that the module is told from what is known of a server: a ready one drains that is out by hand, or
+// stands on a list that has lapsed. It tells whether the mode has changed.
 func (r *roster) setMode(s *Server) (changed bool) {
 	now, mode := r.clock.Now(), s.listed
-	if mode == decide.Ready && (s.banned || r.lapsed || s.notices.Contradict(now)) {
+	if mode == decide.Ready && (s.banned || r.lapsed) {
 		mode = decide.Draining
 	}
 	if s.mode == decide.Ready && mode != decide.Ready {
