Hold requests that come before the first list, and call at once in an upgrade

At start the lease also looked valid until the core's first look.

Change: a request that finds no server before any list had one waits for the first list, for half of its time at most (decide/discovery.go); HoldList lapses at once; a process on an inherited socket calls discovery at once. Time lines show what the list says, not that it has lapsed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,6 +122,7 @@
 		}
 		b.enter(entry)
 	}
+	b.listHeard()
 }
 
 // ready places a request at once if the pool is fresh; else the pool is topped up first.
@@ -416,8 +417,9 @@
 		pick = b.anyone(r)
 	}
 	switch {
+	case pick < 0 && b.awaitList(r):
+		return
 	case pick < 0:
-		b.askSooner()
 		b.turnAway(r, NoServer)
 		return
 	case !b.admit(&b.fleet[pick]):
--- a/decide/discovery.go
+++ b/decide/discovery.go
@@ -1,9 +1,14 @@
 package decide
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// firstCall is the id of the timer for the first call to discovery.
-const firstCall = 1
+const (
+	firstCall  = 1       // id of the timer for the first call to discovery
+	awaitsList = 1 << 30 // answers to probes that a request waits for while it waits for a list: it is no probe that ends that
+)
 
 // turns is how long all relays take to call discovery, which works through calls in turn, those given up too.
 func (b *Balancer) turns() time.Duration {
@@ -16,13 +21,40 @@
 	b.wake(wakeDiscovery, firstCall, time.Duration(b.jitter*float64(b.turns())))
 }
 
-// askSooner makes the first call to discovery before its turn, once: there is a request, and no backend that may be
-// given it before discovery is heard. So a relay that starts alone is not kept waiting for the turns of a fleet.
-func (b *Balancer) askSooner() {
-	if b.first && !b.sooner && b.listed() == 0 {
+// awaitList holds a request of a relay that has just started until its first list has a backend to use, once and for half of the
+// time that is left; false if there is nothing to wait for. The first call to discovery is made before its turn: a relay that
+// starts alone is not kept waiting for the turns of a fleet.
+func (b *Balancer) awaitList(r *request) bool {
+	if b.usedList || r.awaited || !b.set.Ask {
+		return false
+	}
+	if b.first && !b.sooner {
 		b.sooner = true
 		b.wake(wakeDiscovery, firstCall, time.Duration(b.rng.Float64()*float64(b.turns()/2)))
 	}
+	wait := (r.deadline - b.now) / 2
+	if wait < b.set.Tick {
+		return false
+	}
+	r.awaited, r.need, r.phase = true, awaitsList, holding
+	r.wakeAt = b.now + wait
+	b.waiting = append(b.waiting, r)
+	b.wake(wakeRequest, uint64(r.ID), wait)
+	return true
+}
+
+// listHeard goes on with the requests that wait for the first list.
+func (b *Balancer) listHeard() {
+	if b.usedList || b.listed() == 0 {
+		return
+	}
+	b.usedList = true
+	for _, r := range slices.Clone(b.waiting) {
+		if r.awaited && r.phase == holding {
+			b.unwait(r)
+			b.ready(r)
+		}
+	}
 }
 
 // subscribe makes a call to discovery whose timer has gone off.
--- a/decide/state.go
+++ b/decide/state.go
@@ -30,6 +30,7 @@
 	wakeAt   time.Duration // an alarm before this is from an earlier wait
 	need     int           // answers to probes it still waits for
 	spilled  bool          // it has asked other zones
+	awaited  bool          // it has waited for the first list
 	widened  int           // 1 once it has asked beyond its group's circle
 	ranOn    Backend       // not safe: where the first attempt that may have run went, or -1
 	ranAt    time.Duration
@@ -94,6 +95,7 @@
 	asked    int  // failed calls to discovery in a row
 	first    bool // the first call to discovery is still to be made
 	sooner   bool // and is to be made before its turn
+	usedList bool // some list has had a backend to use
 	talk     Fleet
 	prunedAt time.Duration // when the pool was pruned
 	atHome   int           // and how many of it were of this relay's zone
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -247,6 +247,9 @@
 	}
 	x.HoldList(askWithin)
 	x.Members(decide.Cached, c.Known.Entries)
+	if inherited && !lister.Pushed { // in an upgrade this relay starts alone: it need not wait for its turn
+		lister.Watch()
+	}
 	go lister.Run(ctx, c.Known.Version)
 	core := memory.NewCore(x, c.Seed, lister, log)
 	core.Fleet, core.Shared = joint.fleet, joint.shared
--- a/internal/memory/guarded.go
+++ b/internal/memory/guarded.go
@@ -74,6 +74,7 @@
 	defer x.mu.Unlock()
 	x.list = guard.NewListLease(x.Clock.Now(), askWithin)
 	x.leased, x.lookedAt = true, x.Clock.Now()
+	x.checkList()
 }
 
 const (
--- a/internal/memory/site.go
+++ b/internal/memory/site.go
@@ -108,8 +108,8 @@
 // setMode sets the mode that the module is told from what is known of a server: a ready one drains that is out by hand, or
 // stands on a list that has lapsed. It tells whether the mode has changed.
 func (r *roster) setMode(s *Server) (changed bool) {
-	now, mode := r.clock.Now(), s.listed
-	if mode == decide.Ready && (s.banned || r.lapsed) {
+	now, mode := r.clock.Now(), s.shown()
+	if mode == decide.Ready && r.lapsed {
 		mode = decide.Draining
 	}
 	if s.mode == decide.Ready && mode != decide.Ready {
@@ -120,6 +120,14 @@
 	return changed
 }
 
+// shown is the server's mode as operators see it: by the list, or out by hand.
+func (s *Server) shown() decide.Mode {
+	if s.banned && s.listed == decide.Ready {
+		return decide.Draining
+	}
+	return s.listed
+}
+
 // refresh sets the mode of every server as of now, and returns what that changes for the module.
 func (r *roster) refresh() decide.Members {
 	m := decide.Members{Kind: decide.Delta}
--- a/internal/memory/taps.go
+++ b/internal/memory/taps.go
@@ -15,11 +15,12 @@
 		return
 	}
 	for _, s := range x.roster.servers {
-		if s.mode == s.toldMode && s.started == s.toldStart && s.told {
+		mode := s.shown()
+		if mode == s.toldMode && s.started == s.toldStart && s.told {
 			continue
 		}
-		s.told, s.toldMode, s.toldStart = true, s.mode, s.started
-		x.Tap.Put(&tap.Record{At: now, Kind: tap.List, Server: int32(s.Number), Mode: s.mode, Since: s.since, Load: -1})
+		s.told, s.toldMode, s.toldStart = true, mode, s.started
+		x.Tap.Put(&tap.Record{At: now, Kind: tap.List, Server: int32(s.Number), Mode: mode, Since: s.since, Load: -1})
 	}
 }
 
