--- a/decide/discovery.go
+++ b/decide/discovery.go
@@ -33,7 +33,7 @@
 		b.wake(wakeDiscovery, firstCall, time.Duration(b.rng.Float64()*float64(b.turns()/2)))
 	}
 	wait := (r.deadline - b.now) / 2
-	if wait < b.set.Tick {
+	if wait < max(b.set.Tick, b.turns()/2) { // the list would come too late
 		return false
 	}
 	r.awaited, r.need, r.phase = true, awaitsList, holding
