--- /dev/null
+++ b/internal/wire/gossip/moves_test.go
@@ -0,0 +1,64 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/internal/fleet/membership"
+	"capersail/internal/memory"
+	"capersail/internal/simnet"
+)
+
+// startIn starts relay number i in a cell of twoCells and returns it with what has it leave and waits for its end.
+func startIn(t *testing.T, network *simnet.Network, dir, cell string, i int, seeds ...string) (*Node, func()) {
+	t.Helper()
+	node, err := New(Config{Name: fmt.Sprintf("r%d", i), Site: "site", Bind: address(i), Seeds: seeds,
+		State: filepath.Join(dir, fmt.Sprintf("%s-%d", cell, i)), InitialPlace: -1, Founders: 3, Relays: 6, Seed: uint64(i),
+		Clock: memory.NewClock(), Transport: network.Transport, Log: zerolog.Nop(),
+		Self: func() Self { return Self{Lifecycle: membership.Serving, List: 1} }, Cell: cell, Plan: twoCells(), Pace: membership.CellPace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go node.Run(ctx)
+	stop := sync.OnceFunc(func() {
+		node.Leave()
+		cancel()
+		node.Wait()
+	})
+	t.Cleanup(stop)
+	return node, stop
+}
+
+// counts tells whether a relay counts another one as there.
+func (n *Node) counts(name string) bool {
+	n.peers.Lock()
+	defer n.peers.Unlock()
+	return n.peers.there[name]
+}
+
+// A relay moves to another cell and soon comes back, through a relay that has not known it before. The relays that have met it
+// in the other cell meanwhile count it as there again as soon as they hear its status, not only once they try its address again.
+func TestRelayIsBackFromAnotherCell(t *testing.T) {
+	network, dir := simnet.New(simnet.Config{}), t.TempDir()
+	r0, _ := startIn(t, network, dir, "east-1", 0)
+	r3, _ := startIn(t, network, dir, "east-1", 3, address(0))
+	_, stopEast := startIn(t, network, dir, "east-1", 2, address(0))
+	await(t, 10*time.Second, "all are there", func() bool { return r0.counts("r2") && r0.counts("r3") && r3.counts("r2") })
+	stopEast()
+	_, stopWest := startIn(t, network, dir, "west-1", 2)
+	await(t, 20*time.Second, "the one that moved is missed", func() bool { return !r0.counts("r2") && !r3.counts("r2") })
+	time.Sleep(5 * rejoinEvery) // its address has been tried, and a relay of the other cell has answered
+	stopWest()
+	r1, _ := startIn(t, network, dir, "east-1", 1, address(0))
+	await(t, 10*time.Second, "a new relay is there", func() bool { return r1.counts("r0") && r1.counts("r3") && r0.counts("r1") && r3.counts("r1") })
+	startIn(t, network, dir, "east-1", 2, address(1))
+	await(t, 10*time.Second, "the new relay counts the one that is back", func() bool { return r1.counts("r2") })
+	await(t, 10*time.Second, "so do the others", func() bool { return r0.counts("r2") && r3.counts("r2") })
+}
