Join a relay again as soon as its status shows that it is back in the cell

What was found at an address a moment ago was acted on for a minute without asking whether it may still be: the class of the incident, in membership. Lines: Node.missing and its map of addresses.

Change: a status that is news of a relay that is missed takes its address off the list of those that are elsewhere. It joins within a second, whose exchange has it refute its death.

--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -39,7 +39,8 @@
 	maxPeers     = 4096 // names known at once
 	maxBody      = 1 << 18
 	leaveWithin  = 400 * time.Millisecond
-	// elsewhereEvery is the time between two joins to an address where another cell's relay has answered.
+	// elsewhereEvery is the time between two joins to an address where another cell's relay has answered, unless the relay that was
+	// there is heard of in this cell again.
 	elsewhereEvery = time.Minute
 )
 
@@ -111,10 +112,12 @@
 
 	peers struct {
 		sync.Mutex
-		nodes   map[string]*memberlist.Node // by name, copies as last heard of: memberlist writes to its own
-		there   map[string]bool             // those of them that are alive
-		digests map[string][]byte           // by name, as they came
-		replays map[string]*probing.Window
+		nodes map[string]*memberlist.Node // by name, copies as last heard of: memberlist writes to its own
+		there map[string]bool             // those of them that are alive
+		// elsewhere are addresses where a relay of another cell has answered, and when that was.
+		elsewhere map[string]time.Time
+		digests   map[string][]byte // by name, as they came
+		replays   map[string]*probing.Window
 	}
 
 	meter membership.Meter
@@ -131,6 +134,7 @@
 		big: make(chan struct{}, reliableRoom), stopped: make(chan struct{})}
 	n.peers.nodes, n.peers.there = map[string]*memberlist.Node{}, map[string]bool{}
 	n.peers.digests, n.peers.replays = map[string][]byte{}, map[string]*probing.Window{}
+	n.peers.elsewhere = map[string]time.Time{}
 	n.cell = c.wireCell()
 	n.key = keyOfCell(n.cell)
 	n.zone = n.cfg.zoneNumber
@@ -372,12 +376,13 @@
 		}
 	}()
 	said := false
-	elsewhere := map[string]time.Time{} // addresses of other cells' relays, and when that was found
 	for round := 0; ; round++ {
-		if target := n.missing(list, round, elsewhere); target != "" {
+		if target := n.missing(list, round); target != "" {
 			_, err := list.Join([]string{target})
 			if err != nil && strings.Contains(err.Error(), errOtherCell.Error()) {
-				elsewhere[target] = time.Now()
+				n.peers.Lock()
+				n.peers.elsewhere[target] = time.Now()
+				n.peers.Unlock()
 			}
 			if err != nil && !said && list.NumMembers() == 1 {
 				said = true
@@ -395,13 +400,13 @@
 // missing is an address to join: that of a relay that was there and is not, or a seed that nobody answers at. After a
 // cut both sides have given each other up, and only a new join heals that. Where a relay of another cell has answered, a while passes
 // before it is tried again: a join costs both sides all they know.
-func (n *Node) missing(list *memberlist.Memberlist, round int, elsewhere map[string]time.Time) string {
+func (n *Node) missing(list *memberlist.Memberlist, round int) string {
 	there := map[string]bool{}
-	for address, at := range elsewhere {
+	n.peers.Lock()
+	for address, at := range n.peers.elsewhere {
 		there[address] = time.Since(at) < elsewhereEvery
 	}
 	there[n.cfg.Bind], there[n.cfg.Advertise] = true, true
-	n.peers.Lock()
 	for name := range n.peers.there {
 		there[n.peers.nodes[name].Address()] = true
 	}
@@ -619,9 +624,18 @@
 		return false
 	}
 	n.peers.digests[e.From] = text
+	n.backInCell(e.From)
 	return true
 }
 
+// backInCell has a peer that is missed joined again at once: its status has come, so it is in this cell whatever was found at its
+// address before. The caller holds the lock.
+func (n *Node) backInCell(name string) {
+	if node := n.peers.nodes[name]; node != nil && !n.peers.there[name] {
+		delete(n.peers.elsewhere, node.Address())
+	}
+}
+
 // fresh tells whether a message has not come before.
 func (n *Node) fresh(e envelope) bool {
 	n.peers.Lock()
