--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -14,22 +14,22 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
-type relay struct {
+type fakeRelay struct {
 	mu    sync.Mutex
 	ready bool
 	out   map[string]bool
 }
 
-func (r *relay) Ready() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.ready }
-func (r *relay) Drain(on bool) {
+func (r *fakeRelay) Ready() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.ready }
+func (r *fakeRelay) Drain(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ready = !on
 }
-func (r *relay) Down(id string) error {
+func (r *fakeRelay) Down(id string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if id != "s1" {
@@ -38,7 +38,7 @@
 	r.out[id] = true
 	return nil
 }
-func (r *relay) Up(id string) error {
+func (r *fakeRelay) Up(id string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.out, id)
@@ -47,24 +47,24 @@
 
 type source struct{}
 
-func (source) Counts() []memory.Counts {
-	return []memory.Counts{{Answered: 812, Deferred: 3, Errored: 1, Sends: 900}, {Answered: 5}}
+func (source) Counts() []relay.Counts {
+	return []relay.Counts{{Answered: 812, Deferred: 3, Errored: 1, Sends: 900}, {Answered: 5}}
 }
-func (source) Current() int            { return 14 }
-func (source) Cluster() memory.Cluster { return memory.Cluster{Listed: 6, Banned: 1, Shunned: 2} }
-func (source) Rules() memory.RuleFigures {
-	return memory.RuleFigures{ListAge: 1500, ListLapsed: true, Denied: map[string]uint64{"list lapsed": 7}, Refusals: map[string]uint64{"no room": 2},
+func (source) Current() int           { return 14 }
+func (source) Cluster() relay.Cluster { return relay.Cluster{Listed: 6, Banned: 1, Shunned: 2} }
+func (source) Rules() relay.RuleFigures {
+	return relay.RuleFigures{ListAge: 1500, ListLapsed: true, Denied: map[string]uint64{"list lapsed": 7}, Refusals: map[string]uint64{"no room": 2},
 		Violations: map[string]uint64{"drain": 0}}
 }
 
-func serve(t *testing.T) (string, *relay) {
+func serve(t *testing.T) (string, *fakeRelay) {
 	base, r, _ := serveOn(t)
 	return base, r
 }
 
-func serveOn(t *testing.T) (string, *relay, *Server) {
+func serveOn(t *testing.T) (string, *fakeRelay, *Server) {
 	t.Helper()
-	r := &relay{ready: true, out: map[string]bool{}}
+	r := &fakeRelay{ready: true, out: map[string]bool{}}
 	figures := prometheus.NewRegistry()
 	figures.MustRegister(NewFigures(Front{Source: source{}, Classes: []string{"map-stream", "alert-feed"}}))
 	s, err := Listen("127.0.0.1:0", r, figures, zerolog.Nop())
--- a/internal/admin/figures.go
+++ b/internal/admin/figures.go
@@ -3,15 +3,15 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // Source is one front's core as the figures read it.
 type Source interface {
-	Counts() []memory.Counts // by class number, since the process started
-	Current() int            // connections taken and not ended
-	Cluster() memory.Cluster
-	Rules() memory.RuleFigures
+	Counts() []relay.Counts // by class number, since the process started
+	Current() int           // connections taken and not ended
+	Cluster() relay.Cluster
+	Rules() relay.RuleFigures
 }
 
 // Front is a source with the names of its classes, by number.
--- a/internal/capacity/lists_test.go
+++ b/internal/capacity/lists_test.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/standin"
 	"capersail/internal/wire/discovery"
 )
@@ -18,10 +18,10 @@
 // nowhere is a server side and a discovery that do nothing.
 type nowhere struct{}
 
-func (nowhere) Try(*memory.Call, memory.Attempt)                               {}
-func (nowhere) Probe(_ memory.Server, done func(decide.Status, decide.Report)) {}
-func (nowhere) Watch()                                                         {}
-func (nowhere) Fetch()                                                         {}
+func (nowhere) Try(*relay.Call, relay.Attempt)                                {}
+func (nowhere) Probe(_ relay.Server, done func(decide.Status, decide.Report)) {}
+func (nowhere) Watch()                                                        {}
+func (nowhere) Fetch()                                                        {}
 func listText(whole bool, from, until int, mode string) string {
 	var entries []string
 	for i := from; i < until; i++ {
@@ -32,15 +32,15 @@
 
 // listed is a relay's core that takes lists in.
 type listed struct {
-	x    *memory.Exchange
-	core *memory.Core
+	x    *relay.Exchange
+	core *relay.Core
 }
 
 func newListed() *listed {
-	site := &memory.Site{Zones: map[string]decide.Zone{"hall-a": 0}, Settings: decide.Settings{Relays: 1, Zones: 1, MaxAttempts: 2, Probes: true,
-		Tick: memory.Duration(5), Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(3000)}}}}
-	x := memory.NewExchange(site, memory.NewClock(), nowhere{})
-	return &listed{x, memory.NewCore(x, 7, nowhere{}, zerolog.Nop())}
+	site := &relay.Site{Zones: map[string]decide.Zone{"hall-a": 0}, Settings: decide.Settings{Relays: 1, Zones: 1, MaxAttempts: 2, Probes: true,
+		Tick: relay.Duration(5), Classes: []decide.ClassInfo{{Aim: relay.Duration(300), Deadline: relay.Duration(3000)}}}}
+	x := relay.NewExchange(site, relay.NewClock(), nowhere{})
+	return &listed{x, relay.NewCore(x, 7, nowhere{}, zerolog.Nop())}
 }
 
 func (l *listed) take(tb testing.TB, text string) {
--- a/internal/hollow/looks.go
+++ b/internal/hollow/looks.go
@@ -9,56 +9,56 @@
 
 	"capersail/decide"
 	"capersail/internal/fleet/probing"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gossip"
 )
 
 // looks is the part of a relay that looks at servers by turns with the others: the core loop of the program, with a list of
 // servers that does not change and servers that answer in memory.
 type looks struct {
-	exchange *memory.Exchange
-	shared   *memory.Shared
-	list     []memory.Listed
+	exchange *relay.Exchange
+	shared   *relay.Shared
+	list     []relay.Listed
 }
 
 // answerAfter is how long a server takes for its answer to a probe.
 const answerAfter = 2 * time.Millisecond
 
-func newLooks(c Config, clock *memory.Clock) *looks {
+func newLooks(c Config, clock *relay.Clock) *looks {
 	l := &looks{}
-	site := &memory.Site{Settings: decide.Settings{Relays: c.Relays, Zones: c.Layout.Zones, MaxAttempts: 6, Probes: true, RetryAfter: true,
+	site := &relay.Site{Settings: decide.Settings{Relays: c.Relays, Zones: c.Layout.Zones, MaxAttempts: 6, Probes: true, RetryAfter: true,
 		MaxRetryAfter: 1500 * time.Millisecond, ConnectTimeout: 150 * time.Millisecond, Tick: 10 * time.Millisecond}, Zones: map[string]decide.Zone{}}
 	for i := range c.Layout.Zones {
 		site.Zones[c.Layout.Place(i).Zone] = decide.Zone(i)
 	}
 	for i := range c.Servers {
-		l.list = append(l.list, memory.Listed{ID: fmt.Sprintf("s%04d", i), Address: fmt.Sprintf("127.8.%d.%d:1", i/250, 1+i%250), Zone: c.Layout.Place(i).Zone, Mode: decide.Ready, Load: -1})
+		l.list = append(l.list, relay.Listed{ID: fmt.Sprintf("s%04d", i), Address: fmt.Sprintf("127.8.%d.%d:1", i/250, 1+i%250), Zone: c.Layout.Place(i).Zone, Mode: decide.Ready, Load: -1})
 	}
-	l.exchange = memory.NewExchange(site, clock, l)
+	l.exchange = relay.NewExchange(site, clock, l)
 	return l
 }
 
 // start runs the core loop until the context ends.
 func (l *looks) start(ctx context.Context, name string, seed uint64, node *gossip.Node) {
-	l.shared = memory.NewShared(l.exchange, name, seed, node, func(string) {})
-	core := memory.NewCore(l.exchange, seed, l, zerolog.Nop())
+	l.shared = relay.NewShared(l.exchange, name, seed, node, func(string) {})
+	core := relay.NewCore(l.exchange, seed, l, zerolog.Nop())
 	core.Fleet, core.Shared = node, l.shared
 	go core.Run(ctx)
 }
 
 func (l *looks) hear(ev probing.Event) { l.shared.Hear(ev) }
 
-// Watch is memory.Discovery's: the list comes once and stays.
+// Watch is relay.Discovery's: the list comes once and stays.
 func (l *looks) Watch() { l.exchange.Members(decide.Whole, l.list) }
 
-// Fetch is memory.Discovery's.
+// Fetch is relay.Discovery's.
 func (l *looks) Fetch() { l.exchange.Members(decide.Whole, l.list) }
 
-// Try is memory.Servers': there are no clients, so nothing is tried.
-func (l *looks) Try(*memory.Call, memory.Attempt) {}
+// Try is relay.Servers': there are no clients, so nothing is tried.
+func (l *looks) Try(*relay.Call, relay.Attempt) {}
 
-// Probe is memory.Servers': each server tells a load of its own, which moves a little.
-func (l *looks) Probe(s memory.Server, done func(decide.Status, decide.Report)) {
+// Probe is relay.Servers': each server tells a load of its own, which moves a little.
+func (l *looks) Probe(s relay.Server, done func(decide.Status, decide.Report)) {
 	load := 0.3 + 0.4*float64(s.Number%16)/16 + 0.02*float64(time.Now().Unix()%3)
 	time.AfterFunc(answerAfter, func() { done(decide.OK, decide.Report{Load: load, Inflight: -1, Errors: -1, Busy: -1}) })
 }
--- a/internal/lifecycle/admin.go
+++ b/internal/lifecycle/admin.go
@@ -35,7 +35,7 @@
 
 // operated is the relay as its operators' second address sees it: every front, the bans, the drain by hand.
 type operated struct {
-	relays  []*relay
+	relays  []*runningFront
 	serving atomic.Bool
 	dir     string // where bans are kept
 	log     zerolog.Logger
@@ -47,7 +47,7 @@
 
 // startAdmin serves the second address until ctx ends. The bans kept in $TMPDIR by a process that this one
 // replaces hold from the start.
-func startAdmin(ctx context.Context, address string, relays []*relay, fronts []admin.Front, more []prometheus.Collector, log zerolog.Logger) (*operated, error) {
+func startAdmin(ctx context.Context, address string, relays []*runningFront, fronts []admin.Front, more []prometheus.Collector, log zerolog.Logger) (*operated, error) {
 	o := &operated{relays: relays, dir: filepath.Join(os.TempDir(), bansFolder), log: log}
 	if err := os.MkdirAll(o.dir, 0o700); err != nil {
 		return nil, fmt.Errorf("admin: the bans cannot be kept: %w", err)
--- a/internal/lifecycle/cells_test.go
+++ b/internal/lifecycle/cells_test.go
@@ -12,7 +12,7 @@
 
 	"capersail/decide"
 	"capersail/internal/fleet/membership"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 const goodCells = goodMembers + `
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Config{Name: "r3", Site: &memory.Site{Zones: map[string]decide.Zone{"eu-a": 0, "us-b": 1}}}
+	c := &Config{Name: "r3", Site: &relay.Site{Zones: map[string]decide.Zone{"eu-a": 0, "us-b": 1}}}
 	g, err := m.node(c, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fastjson"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/discovery"
 	"capersail/internal/wire/drill"
 )
@@ -29,7 +29,7 @@
 	MemoryMB int
 	Sockets  int
 	Known    *discovery.List
-	Site     *memory.Site
+	Site     *relay.Site
 	settings string // as the file has them, to tell whether a new file changes them
 }
 
--- a/internal/lifecycle/leave_test.go
+++ b/internal/lifecycle/leave_test.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/platform"
 )
@@ -44,10 +44,10 @@
 // A leave ends when every connection has been closed from this side, in order. Requests that have come and that nobody has read when
 // it has nothing else to do are answered, and who rests gets a clean end: the process would go over unread bytes, and reset them.
 func TestLeaveAnswersWhatHasCome(t *testing.T) {
-	clock := memory.NewClock()
-	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{
-		Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(10_000)}}}}
-	x := memory.NewExchange(site, clock, &platform.Servers{Clock: clock})
+	clock := relay.NewClock()
+	site := &relay.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{
+		Classes: []decide.ClassInfo{{Aim: relay.Duration(300), Deadline: relay.Duration(10_000)}}}}
+	x := relay.NewExchange(site, clock, &platform.Servers{Clock: clock})
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -73,7 +73,7 @@
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		leave(&relay{x: x, listener: l, door: door, longest: 10_000})
+		leave(&runningFront{x: x, listener: l, door: door, longest: 10_000})
 	}()
 	for { // until it has nothing to do but wait for these
 		c, err := net.Dial("tcp", inner.Addr().String())
--- a/internal/lifecycle/members.go
+++ b/internal/lifecycle/members.go
@@ -19,7 +19,7 @@
 	"capersail/internal/control"
 	"capersail/internal/fleet/membership"
 	"capersail/internal/fleet/probing"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gossip"
 )
 
@@ -153,7 +153,7 @@
 	}
 	var node *gossip.Node
 	var door *control.Server
-	var shared *memory.Shared
+	var shared *relay.Shared
 	ctx, end := context.WithCancel(context.Background()) // of its own: it is there until the fronts have left
 	started := false
 	p := &part{name: "members"}
@@ -172,7 +172,7 @@
 		if node, err = gossip.New(conf); err == nil {
 			s.fleet = node
 			if m.Looks {
-				shared = memory.NewShared(s.x, conf.Name, conf.Seed, node, func(name string) {
+				shared = relay.NewShared(s.x, conf.Name, conf.Seed, node, func(name string) {
 					log.Warn().Str("member", name).Msg("its readings of servers are left out for 30 s: two others contradict them")
 					s.notice(membership.Changed{What: membership.ChangePeer, Name: name, State: "doubted", Cause: "two others contradict its readings"})
 				})
--- a/internal/lifecycle/part.go
+++ b/internal/lifecycle/part.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/fleet/membership"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/discovery"
 	"capersail/internal/wire/platform"
 )
@@ -29,13 +29,13 @@
 type seam struct {
 	front    string
 	relay    string // the relay's name
-	x        *memory.Exchange
-	clock    *memory.Clock
+	x        *relay.Exchange
+	clock    *relay.Clock
 	platform *platform.Front // nil for other fronts
-	site     *memory.Site
+	site     *relay.Site
 	lister   *discovery.Client // nil for other fronts
-	fleet    memory.Fleet      // a part's to set; nil where relays do not know each other
-	shared   *memory.Shared    // the same; nil where each looks at servers for itself
+	fleet    relay.Fleet       // a part's to set; nil where relays do not know each other
+	shared   *relay.Shared     // the same; nil where each looks at servers for itself
 	notices  []func(membership.Changed)
 }
 
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -17,7 +17,7 @@
 
 	"capersail/decide"
 	"capersail/internal/admin"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/discovery"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/platform"
@@ -51,9 +51,9 @@
 	}
 }
 
-// relay is one front with its core.
-type relay struct {
-	x        *memory.Exchange
+// runningFront is one front with its core.
+type runningFront struct {
+	x        *relay.Exchange
 	listener net.Listener
 	// inherited: the listening socket is the platform's, and lives on in the process that follows this one.
 	inherited bool
@@ -64,9 +64,9 @@
 	reload func() error
 }
 
-func longest(site *memory.Site) (ms float64) {
+func longest(site *relay.Site) (ms float64) {
 	for _, class := range site.Settings.Classes {
-		ms = max(ms, memory.Millis(class.Deadline))
+		ms = max(ms, relay.Millis(class.Deadline))
 	}
 	return ms
 }
@@ -113,9 +113,9 @@
 	defer all.stop()
 	defer stop()
 
-	var relays []*relay
+	var relays []*runningFront
 	failed := make(chan error, 2)
-	add := func(r *relay, err error) error {
+	add := func(r *runningFront, err error) error {
 		if err != nil {
 			return err
 		}
@@ -176,7 +176,7 @@
 }
 
 // wait follows signals until it is time to leave. A file that cannot be used changes nothing.
-func wait(ctx context.Context, relays []*relay, all partList, signals <-chan os.Signal, failed <-chan error, log zerolog.Logger) error {
+func wait(ctx context.Context, relays []*runningFront, all partList, signals <-chan os.Signal, failed <-chan error, log zerolog.Logger) error {
 	for {
 		select {
 		case s := <-signals:
@@ -212,7 +212,7 @@
 }
 
 // classNames are the names of the classes, by number.
-func classNames(site *memory.Site) []string {
+func classNames(site *relay.Site) []string {
 	names := make([]string, len(site.Settings.Classes))
 	for name, class := range site.Classes {
 		if int(class) < len(names) {
@@ -223,13 +223,13 @@
 }
 
 // startPlatform starts the platform's front.
-func startPlatform(ctx context.Context, from Sources, c *Config, all partList, log zerolog.Logger) (*relay, error) {
+func startPlatform(ctx context.Context, from Sources, c *Config, all partList, log zerolog.Logger) (*runningFront, error) {
 	// The simulator's note of slow messages has no line on the sockets: under a load of 1.3 the clients' own
 	// lines still come back within 0.3 ms. The module is to know that a reading is all it will get.
 	c.Site.Settings.TellsDelay = false
-	clock := memory.NewClock()
-	servers := &platform.Servers{Clock: clock, ConnectTimeout: memory.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey, Keep: probeSockets}
-	x := memory.NewExchange(c.Site, clock, servers)
+	clock := relay.NewClock()
+	servers := &platform.Servers{Clock: clock, ConnectTimeout: relay.Millis(c.Site.Settings.ConnectTimeout), LoadKey: c.Site.LoadKey, Keep: probeSockets}
+	x := relay.NewExchange(c.Site, clock, servers)
 	x.Log = log.Sample(&zerolog.BurstSampler{Burst: guardLines, Period: time.Second})
 	lister := discovery.NewClient(c.Discovery, x, log)
 	lister.Pushed = !c.Site.Settings.Ask
@@ -243,7 +243,7 @@
 	all.join(joint)
 	askWithin := 0.0
 	if c.Site.Settings.Ask {
-		askWithin = memory.Millis(c.Site.Settings.Rules.AskWithin)
+		askWithin = relay.Millis(c.Site.Settings.Rules.AskWithin)
 	}
 	x.HoldList(askWithin)
 	x.Members(decide.Cached, c.Known.Entries)
@@ -251,10 +251,10 @@
 		lister.Watch()
 	}
 	go lister.Run(ctx, c.Known.Version)
-	core := memory.NewCore(x, c.Seed, lister, log)
+	core := relay.NewCore(x, c.Seed, lister, log)
 	core.Fleet, core.Shared = joint.fleet, joint.shared
 	go core.Run(ctx)
-	r := &relay{x: x, listener: l, inherited: inherited, door: door, failed: make(chan error, 1), longest: longest(c.Site)}
+	r := &runningFront{x: x, listener: l, inherited: inherited, door: door, failed: make(chan error, 1), longest: longest(c.Site)}
 	r.reload = func() error {
 		n, err := ReadConfig(from.Getenv, log)
 		if err != nil {
@@ -279,7 +279,7 @@
 // Open connections are served for most of the time there is, and moved evenly over the rest. In a rolling restart
 // the relay before this one may be down still: whoever is moved at once finds no relay to come to. And all at
 // once they would find every server loaded, as reports are a second old and still count them.
-func leave(r *relay) {
+func leave(r *runningFront) {
 	r.x.Drain()
 	began, span, all := r.x.Clock.Now(), min(r.longest, longestLeave), r.x.MoveSome(0)
 	pause := func(ms float64) { <-r.x.Clock.After(ms) }
--- a/internal/lifecycle/xmpp.go
+++ b/internal/lifecycle/xmpp.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/xmpp"
 	"capersail/internal/wire/zookeeper"
@@ -102,20 +102,20 @@
 
 // Site turns the file into the module's settings. Every class is Unsafe there: once a client's SASL bytes
 // have reached a server a lost set-up is final.
-func (o *Operator) Site() (*memory.Site, map[string]xmpp.Host) {
-	site := &memory.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{}, Zones: map[string]decide.Zone{}}
+func (o *Operator) Site() (*relay.Site, map[string]xmpp.Host) {
+	site := &relay.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{}, Zones: map[string]decide.Zone{}}
 	for i, z := range o.Zones {
 		site.Zones[z] = decide.Zone(i)
 	}
 	site.Settings = decide.Settings{Me: o.Me, Relays: o.Relays, Zone: site.Zones[o.Zone], Zones: len(o.Zones), MaxAttempts: 2,
-		Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(o.MaxRetryMs), ConnectTimeout: memory.Duration(o.ConnectMs),
-		Tick: memory.Duration(5), Ask: true, Rules: decide.Rules{AskWithin: memory.Duration(o.ZooKeeper.SessionMs)}}
+		Probes: true, RetryAfter: true, MaxRetryAfter: relay.Duration(o.MaxRetryMs), ConnectTimeout: relay.Duration(o.ConnectMs),
+		Tick: relay.Duration(5), Ask: true, Rules: decide.Rules{AskWithin: relay.Duration(o.ZooKeeper.SessionMs)}}
 	deadlines := map[string]float64{}
 	for i, c := range o.Class {
 		site.Classes[c.Name] = decide.Class(i)
 		deadlines[c.Name] = c.DeadlineMs
-		site.Settings.Classes = append(site.Settings.Classes, decide.ClassInfo{Aim: memory.Duration(c.SetupMs),
-			Deadline: memory.Duration(c.DeadlineMs), Effect: decide.Unsafe, Worth: c.Worth})
+		site.Settings.Classes = append(site.Settings.Classes, decide.ClassInfo{Aim: relay.Duration(c.SetupMs),
+			Deadline: relay.Duration(c.DeadlineMs), Effect: decide.Unsafe, Worth: c.Worth})
 	}
 	hosts := map[string]xmpp.Host{}
 	for _, h := range o.Host {
@@ -132,7 +132,7 @@
 		if key == "" {
 			key = h.To
 		}
-		hosts[h.To] = xmpp.Host{Class: site.Classes[h.Class], Tenant: tenant, Key: memory.ServerKey(key), Left: deadlines[h.Class]}
+		hosts[h.To] = xmpp.Host{Class: site.Classes[h.Class], Tenant: tenant, Key: relay.ServerKey(key), Left: deadlines[h.Class]}
 	}
 	for i := range site.Settings.Tenants {
 		site.Settings.Tenants[i].Share = 1 / float64(len(site.Settings.Tenants))
@@ -162,15 +162,15 @@
 }
 
 // startXMPP starts the XMPP front with a core of its own.
-func startXMPP(ctx context.Context, from Sources, o *Operator, all partList, log zerolog.Logger) (*relay, error) {
+func startXMPP(ctx context.Context, from Sources, o *Operator, all partList, log zerolog.Logger) (*runningFront, error) {
 	site, hosts := o.Site()
 	secure, err := o.secure()
 	if err != nil {
 		return nil, err
 	}
-	clock := memory.NewClock()
+	clock := relay.NewClock()
 	servers := &xmpp.Servers{Clock: clock, ConnectTimeout: o.ConnectMs, ProbeTo: o.Host[0].To, Silent: o.SilentMs, Log: log}
-	x := memory.NewExchange(site, clock, servers)
+	x := relay.NewExchange(site, clock, servers)
 	all.join(&seam{front: "xmpp", relay: "xmpp", x: x, clock: clock})
 	lister := zookeeper.NewClient(o.ensemble(), x, log)
 	x.Members(decide.Cached, nil)
@@ -183,8 +183,8 @@
 	front := &xmpp.Front{X: x, Hosts: hosts, Gate: door}
 	front.TLS.Store(secure)
 	go lister.Run(ctx)
-	go memory.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
-	r := &relay{x: x, listener: l, door: door, failed: make(chan error, 1), longest: longest(site)}
+	go relay.NewCore(x, rand.Uint64(), lister, log).Run(ctx)
+	r := &runningFront{x: x, listener: l, door: door, failed: make(chan error, 1), longest: longest(site)}
 	r.reload = func() error {
 		n, err := ReadOperator(from.Operator)
 		if err != nil {
--- a/internal/lifecycle/xmpp_test.go
+++ b/internal/lifecycle/xmpp_test.go
@@ -30,7 +30,7 @@
 	t       *testing.T
 	zk      *standin.ZooKeeper
 	address string
-	relay   *relay
+	relay   *runningFront
 	path    string // of the operator's file
 }
 
--- a/internal/model/network.go
+++ b/internal/model/network.go
@@ -6,7 +6,7 @@
 
 	"capersail/decide"
 	"capersail/internal/fleet/membership"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // The network between relays: how late packets and findings are. Packets that are lost are the Config's.
@@ -31,7 +31,7 @@
 }
 
 func (n *network) delay(most float64) time.Duration {
-	return memory.Duration(1 + n.rng.Float64()*most)
+	return relay.Duration(1 + n.rng.Float64()*most)
 }
 
 // Partition cuts the relays into parts that do not hear each other; nil ends it. Clients and servers stay in reach.
@@ -94,7 +94,7 @@
 	}
 	want, after := membership.Alive, f.network.delay(maxJoinDelay)
 	if !o.up || f.network.partitioned(r, o) {
-		want, after = membership.Failed, memory.Duration(minFailureDelay+f.network.rng.Float64()*(maxFailureDelay-minFailureDelay))
+		want, after = membership.Failed, relay.Duration(minFailureDelay+f.network.rng.Float64()*(maxFailureDelay-minFailureDelay))
 	}
 	if r.health[o] == want || want == membership.Failed && r.health[o] == membership.Unknown {
 		return
--- a/internal/model/peering.go
+++ b/internal/model/peering.go
@@ -9,7 +9,7 @@
 	"capersail/decide"
 	"capersail/internal/fleet/membership"
 	"capersail/internal/fleet/probing"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // peering is what a relay has of the others.
@@ -53,7 +53,7 @@
 		if !r.up || r.incarnation != life {
 			return
 		}
-		if f.Now >= metered+memory.Duration(membership.MeterInterval) {
+		if f.Now >= metered+relay.Duration(membership.MeterInterval) {
 			metered = f.Now
 			doing := membership.Serving
 			if r.draining {
@@ -64,7 +64,7 @@
 			f.stepNode(r, own)
 		}
 		f.stepNode(r, membership.Tick{})
-		f.After(max(memory.Duration((r.node.Next()-r.localTime())/r.clockRate), ms), tick)
+		f.After(max(relay.Duration((r.node.Next()-r.localTime())/r.clockRate), ms), tick)
 	}
 	turn = func() {
 		if !r.up || r.incarnation != life {
@@ -126,12 +126,12 @@
 			}
 		case probing.UseReading:
 			if s := f.serverByKey(a.ServerKey); s != nil {
-				f.carryOut(r, r.balancer.Handle(f.Now, decide.Told{Backend: s.Backend, Age: memory.Duration(a.Age),
+				f.carryOut(r, r.balancer.Handle(f.Now, decide.Told{Backend: s.Backend, Age: relay.Duration(a.Age),
 					Report: decide.Report{Load: a.Reading.Load.Load, Inflight: -1, Errors: -1, Busy: -1}}, nil))
 			}
 		case probing.PeerPlacement:
 			if s := f.serverByKey(a.ServerKey); s != nil {
-				f.carryOut(r, r.balancer.Handle(f.Now, decide.Told{Backend: s.Backend, Age: memory.Duration(a.Age), Sent: a.N}, nil))
+				f.carryOut(r, r.balancer.Handle(f.Now, decide.Told{Backend: s.Backend, Age: relay.Duration(a.Age), Sent: a.N}, nil))
 			}
 		case probing.SendPlacements:
 			f.count("tells of placements")
--- a/internal/model/relay.go
+++ b/internal/model/relay.go
@@ -6,7 +6,7 @@
 
 	"capersail/decide"
 	"capersail/internal/fleet/probing"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // Relay is one relay: the module, and where relays know each other the deciders of membership and probing, as its core loop
@@ -87,7 +87,7 @@
 	if f.cfg.Peering {
 		own := r.localTime()
 		now := float64(f.Now) / float64(ms)
-		word := memory.Reckon(now, own, r.node.Estimate(own), nil)
+		word := relay.Reckon(now, own, r.node.Estimate(own), nil)
 		word.Shared = r.scheduler.On()
 		word.Summed = word.Summed && word.Shared && !f.cfg.GuessPlacements
 		f.carryOut(r, r.balancer.Handle(f.Now, word, nil))
--- a/internal/observe/watch/bench_test.go
+++ b/internal/observe/watch/bench_test.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
 	"capersail/internal/observe/report"
 	"capersail/internal/observe/tap"
 	"capersail/internal/observe/timeline"
+	"capersail/internal/relay"
 	"capersail/internal/store"
 )
 
@@ -24,12 +24,12 @@
 // memory that their lines hold.
 func BenchmarkFold(b *testing.B) {
 	const servers = 200
-	clock := memory.NewSetClock()
-	x := memory.NewExchange(&memory.Site{}, clock, nil)
+	clock := relay.NewSetClock()
+	x := relay.NewExchange(&relay.Site{}, clock, nil)
 	w := New(Config{Buffer: 1 << 15, Limits: timeline.Default(), Most: servers}, x, zerolog.Nop())
-	var list []memory.Listed
+	var list []relay.Listed
 	for i := range servers {
-		list = append(list, memory.Listed{ID: fmt.Sprint("s", i), Mode: decide.Ready})
+		list = append(list, relay.Listed{ID: fmt.Sprint("s", i), Mode: decide.Ready})
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/internal/observe/watch/watch.go
+++ b/internal/observe/watch/watch.go
@@ -13,11 +13,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
 	"capersail/internal/observe/depart"
 	"capersail/internal/observe/report"
 	"capersail/internal/observe/tap"
 	"capersail/internal/observe/timeline"
+	"capersail/internal/relay"
 	"capersail/internal/store"
 )
 
@@ -41,7 +41,7 @@
 // Watcher is one relay's.
 type Watcher struct {
 	Config
-	x   *memory.Exchange
+	x   *relay.Exchange
 	log zerolog.Logger
 
 	mu      sync.Mutex
@@ -59,7 +59,7 @@
 }
 
 // New returns a Watcher of an Exchange, which it gives a tap. It is called before the Exchange is used.
-func New(c Config, x *memory.Exchange, log zerolog.Logger) *Watcher {
+func New(c Config, x *relay.Exchange, log zerolog.Logger) *Watcher {
 	w := &Watcher{Config: c, x: x, log: log, book: timeline.New(c.Limits), depart: depart.New(c.Most),
 		rows: map[string]*timeline.Step{}, follow: map[chan depart.Event]bool{}}
 	x.Tap = tap.New(c.Buffer)
--- a/internal/observe/watch/watch_test.go
+++ b/internal/observe/watch/watch_test.go
@@ -16,10 +16,10 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
 	"capersail/internal/observe/depart"
 	"capersail/internal/observe/report"
 	"capersail/internal/observe/timeline"
+	"capersail/internal/relay"
 	"capersail/internal/standin"
 	"capersail/internal/store"
 	"capersail/internal/wire/gate"
@@ -34,7 +34,7 @@
 // town is a relay in this process, with servers and clients on loopback.
 type town struct {
 	t       testing.TB
-	x       *memory.Exchange
+	x       *relay.Exchange
 	w       *Watcher
 	servers []*standin.ScanServer
 	modes   []decide.Mode
@@ -47,12 +47,12 @@
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
 	feed, ledger := standin.NewFeed(1000, 50*time.Millisecond, stop), standin.NewLedger()
-	clock := memory.NewClock()
-	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
-		MaxAttempts: 4, Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(200), Tick: memory.Duration(5),
-		ConnectTimeout: memory.Duration(300), Rules: decide.Rules{Cold: memory.Duration(3000), StartCapacity: 0.36, FallMultiple: 4,
-			FallFor: memory.Duration(1500)}, Classes: []decide.ClassInfo{{Aim: memory.Duration(800), Deadline: memory.Duration(3000)}}}}
-	x := memory.NewExchange(site, clock, &platform.Servers{Clock: clock, ConnectTimeout: 300, LoadKey: "x0", Keep: 64})
+	clock := relay.NewClock()
+	site := &relay.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
+		MaxAttempts: 4, Probes: true, RetryAfter: true, MaxRetryAfter: relay.Duration(200), Tick: relay.Duration(5),
+		ConnectTimeout: relay.Duration(300), Rules: decide.Rules{Cold: relay.Duration(3000), StartCapacity: 0.36, FallMultiple: 4,
+			FallFor: relay.Duration(1500)}, Classes: []decide.ClassInfo{{Aim: relay.Duration(800), Deadline: relay.Duration(3000)}}}}
+	x := relay.NewExchange(site, clock, &platform.Servers{Clock: clock, ConnectTimeout: 300, LoadKey: "x0", Keep: 64})
 	w := &town{t: t, x: x, w: New(Config{Relay: "n", Buffer: 8192, Limits: timeline.Default(), Most: 100, Store: s}, x, zerolog.Nop())}
 	for i := range servers {
 		s, err := standin.NewScanServer(fmt.Sprint("s", i), "127.0.0.1:0", feed, ledger)
@@ -72,15 +72,15 @@
 	t.Cleanup(func() { l.Close() })
 	w.relay = l.Addr().String()
 	go (&platform.Front{X: x, Site: site, Gate: gate.New(clock, 4096, zerolog.Nop())}).Serve(l)
-	go memory.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
+	go relay.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
 	go w.w.Run(t.Context())
 	return w
 }
 
 func (w *town) list() {
-	var all []memory.Listed
+	var all []relay.Listed
 	for i, s := range w.servers {
-		all = append(all, memory.Listed{ID: s.ID, Address: s.Address, Mode: w.modes[i], Started: w.since[i], Load: -1})
+		all = append(all, relay.Listed{ID: s.ID, Address: s.Address, Mode: w.modes[i], Started: w.since[i], Load: -1})
 	}
 	w.x.Members(decide.Whole, all)
 }
--- a/internal/memory/clock.go
+++ b/internal/relay/clock.go
@@ -1,6 +1,6 @@
-// Package memory keeps everything a relay knows while it runs: the clock, the list of servers, the state
-// of every request, and the loop that feeds the decision module. It knows no wire.
-package memory
+// Package relay is a relay's core, which knows no wire: the clock, the list of servers, the state of every request, and the loop
+// that feeds the decision module.
+package relay
 
 import (
 	"math"
--- a/internal/memory/guarded.go
+++ b/internal/relay/guarded.go
@@ -1,4 +1,4 @@
-package memory
+package relay
 
 import (
 	"capersail/decide"
--- a/internal/memory/trust_faults.go
+++ b/internal/relay/trust_faults.go
@@ -1,6 +1,6 @@
 //go:build faults
 
-package memory
+package relay
 
 import "capersail/internal/fault"
 
--- a/internal/memory/trust_seam.go
+++ b/internal/relay/trust_seam.go
@@ -1,6 +1,6 @@
 //go:build !faults
 
-package memory
+package relay
 
 // disableCorroborationIfTold is where tests take out the weighing of what peers tell.
 func (s *Shared) disableCorroborationIfTold() {}
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -8,40 +8,40 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/standin"
 	"capersail/internal/token"
 )
 
 type nobody struct{}
 
-func (nobody) Try(*memory.Call, memory.Attempt)                        {}
-func (nobody) Probe(memory.Server, func(decide.Status, decide.Report)) {}
-func (nobody) Pass([]byte) error                                       { return nil }
-func (nobody) Close(memory.Ending)                                     {}
-func (nobody) Pending() bool                                           { return false }
-func (nobody) Wake()                                                   {}
+func (nobody) Try(*relay.Call, relay.Attempt)                         {}
+func (nobody) Probe(relay.Server, func(decide.Status, decide.Report)) {}
+func (nobody) Pass([]byte) error                                      { return nil }
+func (nobody) Close(relay.Ending)                                     {}
+func (nobody) Pending() bool                                          { return false }
+func (nobody) Wake()                                                  {}
 
-// relay is a Service with an Exchange, without sockets but for the claim service's.
-type relay struct {
-	x *memory.Exchange
+// testRelay is a Service with an Exchange, without sockets but for the claim service's.
+type testRelay struct {
+	x *relay.Exchange
 	s *Service
 }
 
-func newRelay(t testing.TB, zk *standin.ZooKeeper, change func(*Config)) *relay {
+func newRelay(t testing.TB, zk *standin.ZooKeeper, change func(*Config)) *testRelay {
 	t.Helper()
 	ring, err := token.NewRing([]token.Key{{ID: "a", Secret: bytes.Repeat([]byte{1}, 32)}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock := memory.NewClock()
-	site := &memory.Site{Settings: decide.Settings{RetryAfter: true, Classes: []decide.ClassInfo{{}}}}
+	clock := relay.NewClock()
+	site := &relay.Site{Settings: decide.Settings{RetryAfter: true, Classes: []decide.ClassInfo{{}}}}
 	c := Config{Relay: "n", Servers: []string{zk.Address}, Path: "/a/streams", Session: 4000, ClaimWithin: 20_000, TokenLife: 60_000,
 		Renew: 1000, Skew: 1000}
 	if change != nil {
 		change(&c)
 	}
-	r := &relay{memory.NewExchange(site, clock, nobody{}), New(c, ring, clock, zerolog.Nop())}
+	r := &testRelay{relay.NewExchange(site, clock, nobody{}), New(c, ring, clock, zerolog.Nop())}
 	go r.s.Run(t.Context())
 	eventually(t, "connected", func() bool { return r.s.Until() > clock.Now() })
 	return r
@@ -66,14 +66,14 @@
 	return zk
 }
 
-func (r *relay) open(st *Stream) *memory.Call {
-	return r.x.Open(memory.Ask{Claim: st, Left: 30_000}, nobody{})
+func (r *testRelay) open(st *Stream) *relay.Call {
+	return r.x.Open(relay.Ask{Claim: st, Left: 30_000}, nobody{})
 }
 
 // fresh makes n streams and gives them back; it returns their tokens.
-func (r *relay) fresh(t testing.TB, n int) (tokens []string) {
+func (r *testRelay) fresh(t testing.TB, n int) (tokens []string) {
 	t.Helper()
-	var calls []*memory.Call
+	var calls []*relay.Call
 	var streams []*Stream
 	for range n {
 		st := r.s.Fresh(Asked{Class: "m"})
@@ -83,7 +83,7 @@
 	eventually(t, "claimed", func() bool { return r.s.Stats().Won >= uint64(n) })
 	for i, st := range streams {
 		tokens = append(tokens, st.Token())
-		calls[i].Leave(memory.Clean)
+		calls[i].Leave(relay.Clean)
 	}
 	for _, st := range streams {
 		<-st.released
@@ -92,7 +92,7 @@
 }
 
 // resume opens with tokens, all at once, and waits until each call has its claim or its answer.
-func (r *relay) resume(t testing.TB, tokens []string) (calls []*memory.Call) {
+func (r *testRelay) resume(t testing.TB, tokens []string) (calls []*relay.Call) {
 	t.Helper()
 	for _, text := range tokens {
 		st, note, err := r.s.Resume(text, Asked{Class: "m"})
@@ -102,7 +102,7 @@
 		calls = append(calls, r.open(st))
 	}
 	for _, c := range calls {
-		eventually(t, "an answer", func() bool { state, _ := c.State(); return state != memory.Claiming })
+		eventually(t, "an answer", func() bool { state, _ := c.State(); return state != relay.Claiming })
 	}
 	return calls
 }
@@ -132,16 +132,16 @@
 	a, b := newRelay(t, zk, nil), newRelay(t, zk, nil)
 	tokens := a.fresh(t, 1)
 	first := a.resume(t, tokens)[0]
-	if state, _ := first.State(); state != memory.Held {
+	if state, _ := first.State(); state != relay.Held {
 		t.Fatalf("state %v", state)
 	}
 	second := b.resume(t, tokens)[0]
-	if _, answer := second.State(); answer.Kind != memory.Refused || answer.RetryAfter <= 0 || answer.RetryAfter > 4000 {
+	if _, answer := second.State(); answer.Kind != relay.Refused || answer.RetryAfter <= 0 || answer.RetryAfter > 4000 {
 		t.Errorf("%+v", answer)
 	}
-	first.Leave(memory.Clean)
+	first.Leave(relay.Clean)
 	eventually(t, "given back", func() bool { return len(zk.Nodes("/a/streams/")) == 1 })
-	if state, _ := b.resume(t, tokens)[0].State(); state != memory.Held {
+	if state, _ := b.resume(t, tokens)[0].State(); state != relay.Held {
 		t.Errorf("state %v", state)
 	}
 }
@@ -156,12 +156,12 @@
 	eventually(t, "claimed", func() bool { return plain.gen.Load() == 1 && given.gen.Load() == 1 })
 	given.Token()
 	zk.Expire()
-	eventually(t, "ended", func() bool { state, _ := b.State(); return state == memory.Ended })
+	eventually(t, "ended", func() bool { state, _ := b.State(); return state == relay.Ended })
 	if given.Trusted() || given.Token() != "" {
 		t.Error("a stream that has lapsed is still trusted")
 	}
 	eventually(t, "claimed anew", func() bool { return plain.gen.Load() == 2 })
-	if state, _ := a.State(); state != memory.Held || !plain.Trusted() {
+	if state, _ := a.State(); state != relay.Held || !plain.Trusted() {
 		t.Errorf("without a token out: state %v, trusted %v", state, plain.Trusted())
 	}
 }
@@ -173,7 +173,7 @@
 	r := newRelay(t, zk, nil)
 	tokens := r.fresh(t, 200)
 	zk.Hold(200)
-	var calls []*memory.Call
+	var calls []*relay.Call
 	for _, text := range tokens {
 		st, _, err := r.s.Resume(text, Asked{Class: "m"})
 		if err != nil {
@@ -182,7 +182,7 @@
 		calls = append(calls, r.open(st))
 	}
 	for _, c := range calls {
-		eventually(t, "claimed", func() bool { state, _ := c.State(); return state == memory.Held })
+		eventually(t, "claimed", func() bool { state, _ := c.State(); return state == relay.Held })
 	}
 	if s := r.s.Stats(); s.Won != 400 {
 		t.Errorf("%+v", s)
@@ -209,7 +209,7 @@
 					calls := r.resume(b, tokens[i:i+k.step])
 					spent += time.Since(began)
 					for _, c := range calls {
-						c.Leave(memory.Clean)
+						c.Leave(relay.Clean)
 					}
 					claims += len(calls)
 					eventually(b, "given back", func() bool { return len(zk.Nodes("/a/streams/")) == n })
--- a/internal/resume/service.go
+++ b/internal/resume/service.go
@@ -15,7 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/claim"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/token"
 	"capersail/internal/wire/zookeeper"
 )
@@ -42,7 +42,7 @@
 // Service is one relay's. Its methods never block, but for Run and Close.
 type Service struct {
 	Config
-	Clock *memory.Clock
+	Clock *relay.Clock
 	Log   zerolog.Logger
 	wall  func() int64 // Unix ms
 
@@ -61,7 +61,7 @@
 }
 
 // New returns a Service that Run begins.
-func New(c Config, ring *token.Ring, clock *memory.Clock, log zerolog.Logger) *Service {
+func New(c Config, ring *token.Ring, clock *relay.Clock, log zerolog.Logger) *Service {
 	s := &Service{Config: c, Clock: clock, Log: log, keeper: claim.New(rand.Uint64()), streams: map[uint64]*Stream{},
 		ready: make(chan struct{}, 1), wall: func() int64 { return time.Now().UnixMilli() }}
 	s.Path = path.Clean(c.Path)
@@ -139,7 +139,7 @@
 				s.feed(ev)
 			}
 		}
-		wait.Reset(memory.Duration(max(1, s.keeper.Next()-s.Clock.Now())))
+		wait.Reset(relay.Duration(max(1, s.keeper.Next()-s.Clock.Now())))
 	}
 }
 
@@ -176,16 +176,16 @@
 func (s *Service) refused(a claim.Refused) {
 	st := s.streams[a.Handle]
 	delete(s.streams, a.Handle)
-	answer := memory.Answer{Kind: memory.Refused, RetryAfter: a.After}
+	answer := relay.Answer{Kind: relay.Refused, RetryAfter: a.After}
 	switch a.Why {
 	case claim.Held:
 		s.count(&s.stats.Held)
 	case claim.Behind:
 		s.count(&s.stats.Behind)
-		answer = memory.Answer{Kind: memory.Failed, Note: NoteBehind}
+		answer = relay.Answer{Kind: relay.Failed, Note: NoteBehind}
 	case claim.Unknown:
 		s.count(&s.stats.Unknown)
-		answer = memory.Answer{Kind: memory.Failed, Note: NoteUnknown}
+		answer = relay.Answer{Kind: relay.Failed, Note: NoteUnknown}
 	case claim.Unreachable:
 		s.count(&s.stats.Unreachable)
 	case claim.Slow:
--- a/internal/resume/stream.go
+++ b/internal/resume/stream.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 
 	"capersail/internal/claim"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/token"
 )
 
@@ -34,7 +34,7 @@
 	HasPosition   bool
 }
 
-// Stream is a stream's claim at this relay, and its way to tokens. It implements memory.Claim. One goroutine,
+// Stream is a stream's claim at this relay, and its way to tokens. It implements relay.Claim. One goroutine,
 // that which passes lines to the client, calls Passed, Due and Token.
 type Stream struct {
 	Asked
@@ -57,7 +57,7 @@
 	keptAt   float64
 
 	mu      sync.Mutex
-	call    *memory.Call
+	call    *relay.Call
 	handle  uint64
 	over    bool
 	arrived uint64 // generation whose token the client has confirmed
@@ -104,7 +104,7 @@
 func (st *Stream) Wait() bool { return st.token != 0 }
 
 // Begin asks for the claim.
-func (st *Stream) Begin(c *memory.Call) {
+func (st *Stream) Begin(c *relay.Call) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.call = c
@@ -167,7 +167,7 @@
 	}
 }
 
-func (st *Stream) refused(a memory.Answer) {
+func (st *Stream) refused(a relay.Answer) {
 	st.mu.Lock()
 	c := st.call
 	st.handle = 0
--- a/internal/resume/sweep.go
+++ b/internal/resume/sweep.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 
 	"capersail/internal/claim"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/zookeeper"
 )
 
@@ -56,7 +56,7 @@
 		case <-ctx.Done():
 			return
 		case room <- struct{}{}:
-		case <-s.Clock.After(memory.Millis(memory.Duration(s.Session))):
+		case <-s.Clock.After(relay.Millis(relay.Duration(s.Session))):
 			return
 		}
 	}
--- a/internal/wire/discovery/call.go
+++ b/internal/wire/discovery/call.go
@@ -13,7 +13,7 @@
 	"syscall"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // call makes one call and takes in every list that it brings.
@@ -141,7 +141,7 @@
 
 // begins makes one call, up to the first line of its answer. The connection is closed with the context.
 func (c *Client) begins(ctx context.Context, address, path string) *answer {
-	d := net.Dialer{Timeout: memory.Duration(dialWithin)}
+	d := net.Dialer{Timeout: relay.Duration(dialWithin)}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return &answer{err: fmt.Errorf("dial: %w", err)}
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // What discovery has to tell counts as told 6 s after it could be reached, or after a watch fell silent, whatever failed
@@ -35,8 +35,8 @@
 
 // Client asks discovery. The module says when; it also draws the jittered wait after a failed call.
 type Client struct {
-	clock *memory.Clock
-	tell  func(decide.ListKind, []memory.Listed)
+	clock *relay.Clock
+	tell  func(decide.ListKind, []relay.Listed)
 	// heard says that discovery has said something on a call that stands; unheard, that a call has ended or brought nothing.
 	heard   func()
 	unheard func(refused bool)
@@ -61,7 +61,7 @@
 }
 
 // NewClient returns a client of the service at an address.
-func NewClient(address string, x *memory.Exchange, log zerolog.Logger) *Client {
+func NewClient(address string, x *relay.Exchange, log zerolog.Logger) *Client {
 	return &Client{address: address, clock: x.Clock, tell: x.Members, heard: x.Heard, unheard: x.Unheard, log: log, quiet: quietWithin, within: headWithin, second: secondAfter,
 		listed: func() int { return x.Cluster().Listed }, asks: make(chan bool, 8), moved: make(chan struct{}, 1)}
 }
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 const ready = `{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","lifecycle":"Ready"}`
@@ -70,7 +70,7 @@
 		}
 		fmt.Fprint(conn, "0\r\n\r\n")
 	}()
-	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
 	c := NewClient(l.Addr().String(), x, zerolog.Nop())
 	version := int64(4)
 	if err := c.call(context.Background(), l.Addr().String(), "/v1/endpoints?watch=1&after=4", &version); err != nil {
@@ -121,11 +121,11 @@
 		}()
 		return l.Addr().String()
 	}
-	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
 	var said strings.Builder
 	c := NewClient(service(70, false), x, zerolog.New(&said))
 	var failures atomic.Int32
-	c.tell = func(kind decide.ListKind, _ []memory.Listed) {
+	c.tell = func(kind decide.ListKind, _ []relay.Listed) {
 		if kind == decide.Failed {
 			failures.Add(1)
 		}
@@ -195,11 +195,11 @@
 			asked <- strings.Fields(first)[1]
 		}
 	}()
-	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
 	c := NewClient(l.Addr().String(), x, zerolog.Nop())
 	c.quiet, c.second, c.within = 700, 100, 700
 	failed := make(chan int, 8)
-	c.tell = func(kind decide.ListKind, _ []memory.Listed) {
+	c.tell = func(kind decide.ListKind, _ []relay.Listed) {
 		if kind == decide.Failed {
 			failed <- len(asked)
 		}
--- a/internal/wire/discovery/list.go
+++ b/internal/wire/discovery/list.go
@@ -11,14 +11,14 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // List is what discovery knew at some time.
 type List struct {
 	Version int64
 	Full    bool
-	Entries []memory.Listed
+	Entries []relay.Listed
 }
 
 // maxList is the most bytes of one list.
@@ -98,8 +98,8 @@
 	return list, nil
 }
 
-func entry(e *fastjson.Value) (memory.Listed, error) {
-	l := memory.Listed{ID: string(e.GetStringBytes("instanceId")), Address: string(e.GetStringBytes("hostPort")),
+func entry(e *fastjson.Value) (relay.Listed, error) {
+	l := relay.Listed{ID: string(e.GetStringBytes("instanceId")), Address: string(e.GetStringBytes("hostPort")),
 		Zone: string(e.GetStringBytes("zone")), Cell: int32(e.GetInt("cell")), Started: e.GetFloat64("startedAtMs"),
 		Resumes: e.GetBool("resumes")}
 	if l.ID == "" {
--- a/internal/wire/discovery/moments_test.go
+++ b/internal/wire/discovery/moments_test.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // script plays discovery: each call is answered by the next of its answers, the last one for good. An answer is the body of a
@@ -115,13 +115,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address, asked := script(t, c.answers...)
-			x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
-			x.Members(decide.Cached, []memory.Listed{{ID: "s-1", Address: "127.0.0.1:1", Mode: decide.Ready}})
+			x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
+			x.Members(decide.Cached, []relay.Listed{{ID: "s-1", Address: "127.0.0.1:1", Mode: decide.Ready}})
 			client := NewClient(address, x, zerolog.Nop())
 			client.quiet, client.second, client.within = 400, 200, 5000
 			failures, empty := 0, false
 			var mu sync.Mutex
-			client.tell = func(kind decide.ListKind, list []memory.Listed) {
+			client.tell = func(kind decide.ListKind, list []relay.Listed) {
 				mu.Lock()
 				defer mu.Unlock()
 				if x.Members(kind, list); kind == decide.Failed {
@@ -161,7 +161,7 @@
 // What takes back what is known is taken in once a second call says the same.
 func TestDoubtedTwiceIsBelieved(t *testing.T) {
 	address, asked := script(t, whole(42, "s-1"), whole(43), whole(43))
-	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
 	client := NewClient(address, x, zerolog.Nop())
 	go client.Run(t.Context(), 41)
 	client.Watch()
@@ -182,10 +182,10 @@
 // that others call too. Without Pushed nothing was ever asked for, and the list of the start stood for the day.
 func TestPushed(t *testing.T) {
 	address, asked := script(t, "RESET", whole(42, "s-1")+"RESET", "RESET", "RESET", whole(43, "s-9"))
-	x := memory.NewExchange(&memory.Site{}, memory.NewClock(), nil)
+	x := relay.NewExchange(&relay.Site{}, relay.NewClock(), nil)
 	client := NewClient(address, x, zerolog.Nop())
 	client.Pushed = true
-	client.tell = func(kind decide.ListKind, list []memory.Listed) {
+	client.tell = func(kind decide.ListKind, list []relay.Listed) {
 		if x.Members(kind, list); kind == decide.Failed {
 			t.Error("the module was told of a failure")
 		}
--- a/internal/wire/drill/settings.go
+++ b/internal/wire/drill/settings.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // newNode starts an instance from its settings.
@@ -19,8 +19,8 @@
 
 // DecodeSettings reads the settings object, which the simulator's first message and a real relay's
 // configuration share. Keys that are absent count as 0, unknown ones are skipped.
-func DecodeSettings(p *fastjson.Value) *memory.Site {
-	n := &memory.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{},
+func DecodeSettings(p *fastjson.Value) *relay.Site {
+	n := &relay.Site{Classes: map[string]decide.Class{}, Tenants: map[string]decide.Tenant{},
 		Zones: map[string]decide.Zone{}}
 	set := decide.Settings{
 		Me:             p.GetInt("me"),
@@ -75,7 +75,7 @@
 			info.Scope = decide.ScopeCell
 		}
 		if i < len(messages) {
-			info.Message = memory.Duration(messages[i].GetFloat64())
+			info.Message = relay.Duration(messages[i].GetFloat64())
 		}
 		n.Classes[string(c.GetStringBytes("name"))] = decide.Class(i)
 		set.Classes = append(set.Classes, info)
@@ -103,5 +103,5 @@
 }
 
 func span(p *fastjson.Value, keys ...string) time.Duration {
-	return memory.Duration(p.GetFloat64(keys...))
+	return relay.Duration(p.GetFloat64(keys...))
 }
--- a/internal/wire/drill/settings_test.go
+++ b/internal/wire/drill/settings_test.go
@@ -12,24 +12,24 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // wires are three servers: one takes what comes, one loses it, one says nothing. Probes are answered with no report.
 type wires struct {
-	clock *memory.Clock
-	out   map[*memory.Call]memory.Attempt
+	clock *relay.Clock
+	out   map[*relay.Call]relay.Attempt
 }
 
 type deaf struct{}
 
-func (deaf) Pass([]byte) error   { return nil }
-func (deaf) Close(memory.Ending) {}
-func (deaf) Wake()               {}
-func (deaf) Pending() bool       { return false }
+func (deaf) Pass([]byte) error  { return nil }
+func (deaf) Close(relay.Ending) {}
+func (deaf) Wake()              {}
+func (deaf) Pending() bool      { return false }
 
-func (w *wires) Try(c *memory.Call, a memory.Attempt) { w.out[c] = a }
-func (w *wires) Probe(s memory.Server, done func(decide.Status, decide.Report)) {
+func (w *wires) Try(c *relay.Call, a relay.Attempt) { w.out[c] = a }
+func (w *wires) Probe(s relay.Server, done func(decide.Status, decide.Report)) {
 	if s.ID != "c" {
 		go done(decide.OK, decide.NoReport)
 	} else {
@@ -109,30 +109,30 @@
 			t.Fatal(err)
 		}
 		site := DecodeSettings(v)
-		clock := memory.NewSetClock()
-		w := &wires{clock, map[*memory.Call]memory.Attempt{}}
-		x := memory.NewExchange(site, clock, w)
+		clock := relay.NewSetClock()
+		w := &wires{clock, map[*relay.Call]relay.Attempt{}}
+		x := relay.NewExchange(site, clock, w)
 		var log strings.Builder
-		core := memory.NewCore(x, 3, w, zerolog.New(&log))
-		var list []memory.Listed
+		core := relay.NewCore(x, 3, w, zerolog.New(&log))
+		var list []relay.Listed
 		for _, id := range []string{"a", "b", "c"} {
-			list = append(list, memory.Listed{ID: id, Address: "127.0.0.1:1", Zone: "hall-a", Mode: decide.Ready, Started: clock.Unix(clock.Now() - 500)})
+			list = append(list, relay.Listed{ID: id, Address: "127.0.0.1:1", Zone: "hall-a", Mode: decide.Ready, Started: clock.Unix(clock.Now() - 500)})
 		}
 		x.Members(decide.Cached, list)
-		calls := map[*memory.Call]float64{}
+		calls := map[*relay.Call]float64{}
 		for i := range 24 {
 			if len(site.Settings.Classes) == 0 {
 				return // refused at start (TestBadConfiguration)
 			}
 			left := []float64{0.5, 20, 90, 500}[i%4]
-			ask := memory.Ask{Class: decide.Class(i % len(site.Settings.Classes)), Tenant: decide.Tenant(i%3 - 1), Group: uint64(i % 3), Left: left, Returned: i%5 == 0}
+			ask := relay.Ask{Class: decide.Class(i % len(site.Settings.Classes)), Tenant: decide.Tenant(i%3 - 1), Group: uint64(i % 3), Left: left, Returned: i%5 == 0}
 			calls[x.Open(ask, deaf{})] = clock.Now() + left
 		}
 		for steps := 0; len(calls) > 0; steps++ {
 			next := core.Step()
 			w.turn()
 			for c, deadline := range calls {
-				if state, _ := c.State(); state == memory.Up || state == memory.Ended {
+				if state, _ := c.State(); state == relay.Up || state == relay.Ended {
 					delete(calls, c)
 				} else if clock.Now() > deadline+50 {
 					t.Errorf("%s: no answer %.0f ms after the deadline", what, clock.Now()-deadline)
--- a/internal/wire/drill/wire.go
+++ b/internal/wire/drill/wire.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // Hub hosts many instances of the module. They share the spelling of backend names and nothing else.
@@ -82,7 +82,7 @@
 	h.out = append(h.out[:0], `{"actions":[`...)
 	h.first = true
 	for i, ev := range arrivals {
-		if err := h.event(memory.Duration(clock), ev); err != nil {
+		if err := h.event(relay.Duration(clock), ev); err != nil {
 			return nil, fmt.Errorf("arrival %d: %w", i, err)
 		}
 	}
@@ -267,7 +267,7 @@
 		return decide.Alarm{Token: f.whole(2)}, nil
 	case "echo":
 		status, err := verdict(f.whole(4))
-		return decide.Probed{Took: memory.Duration(f.num(2)), Backend: h.backend(n, f.must(3)), Status: status,
+		return decide.Probed{Took: relay.Duration(f.num(2)), Backend: h.backend(n, f.must(3)), Status: status,
 			Report: n.report(f.get(5))}, err
 	case "fromPeer":
 		data, err := base64.StdEncoding.DecodeString(string(f.text(3)))
@@ -287,14 +287,14 @@
 	var ev decide.Event
 	switch kind {
 	case "flowing":
-		ev = decide.Opened{ID: j.id, Attempt: int(f.whole(3)), Backend: h.backend(n, f.must(4)), Took: memory.Duration(f.num(5))}
+		ev = decide.Opened{ID: j.id, Attempt: int(f.whole(3)), Backend: h.backend(n, f.must(4)), Took: relay.Duration(f.num(5))}
 	case "interim":
 		backend, amount := h.backend(n, f.must(3)), f.num(5)
 		switch f.whole(6) {
 		case 1:
 			ev = decide.LoadNote{ID: j.id, Backend: backend, Load: amount / 1e6}
 		case 2:
-			ev = decide.DelayNote{ID: j.id, Backend: backend, Delay: memory.Duration(amount)}
+			ev = decide.DelayNote{ID: j.id, Backend: backend, Delay: relay.Duration(amount)}
 		}
 	case "closedAttempt":
 		status, err := verdict(f.whole(4))
@@ -302,7 +302,7 @@
 			return nil, err
 		}
 		o := decide.Outcome{ID: j.id, Attempt: int(f.whole(3)), Status: status, Backend: h.backend(n, f.must(5)),
-			Took: memory.Duration(f.num(6)), Closed: f.flag(7), Report: n.report(f.get(8))}
+			Took: relay.Duration(f.num(6)), Closed: f.flag(7), Report: n.report(f.get(8))}
 		j.out--
 		j.over = j.over || o.Closed
 		ev = o
@@ -322,7 +322,7 @@
 	if !ok && n.balance != nil {
 		return nil, fmt.Errorf("unknown class %q", f.text(3))
 	}
-	r := decide.Request{Class: class, Tenant: decide.NoTenant, Key: f.whole(5), Left: memory.Duration(f.num(6)), Group: f.whole(8)}
+	r := decide.Request{Class: class, Tenant: decide.NoTenant, Key: f.whole(5), Left: relay.Duration(f.num(6)), Group: f.whole(8)}
 	if t, ok := n.tenants[string(f.text(4))]; ok {
 		r.Tenant = t
 	}
@@ -367,7 +367,7 @@
 				return nil, err
 			}
 			e := &fields{vals: vals}
-			entry := decide.Entry{Backend: h.backend(n, e.must(0)), Cell: int32(e.whole(2)), Since: memory.Duration(e.num(5)),
+			entry := decide.Entry{Backend: h.backend(n, e.must(0)), Cell: int32(e.whole(2)), Since: relay.Duration(e.num(5)),
 				Zone: n.zones[string(e.text(6))]}
 			entry.Spot = h.spots[n.global[entry.Backend]]
 			switch mode := e.whole(1); mode {
@@ -397,7 +397,7 @@
 		g = len(h.names)
 		h.names = append(h.names, string(name))
 		h.backends[h.names[g]] = g
-		h.spots = append(h.spots, memory.ServerKey(h.names[g]))
+		h.spots = append(h.spots, relay.ServerKey(h.names[g]))
 	}
 	for g >= len(n.local) {
 		n.local = append(n.local, -1)
--- a/internal/wire/gate/gate.go
+++ b/internal/wire/gate/gate.go
@@ -12,7 +12,7 @@
 
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 )
 
@@ -36,7 +36,7 @@
 
 // Gate counts the descriptors that clients hold, with those of their connections to servers.
 type Gate struct {
-	Clock *memory.Clock
+	Clock *relay.Clock
 	// Log is for clients' faults; it is thinned out, as a client must not write the log at full speed.
 	Log zerolog.Logger
 
@@ -51,7 +51,7 @@
 }
 
 // New returns a gate for so many descriptors.
-func New(clock *memory.Clock, room int, log zerolog.Logger) *Gate {
+func New(clock *relay.Clock, room int, log zerolog.Logger) *Gate {
 	g := &Gate{Clock: clock, Log: log.Sample(&zerolog.BurstSampler{Burst: complaints, Period: time.Second})}
 	g.freed.L = &g.mu
 	g.SetRoom(room)
@@ -95,7 +95,7 @@
 			g.mu.Lock()
 			g.evict()
 			g.mu.Unlock()
-			time.Sleep(memory.Duration(5))
+			time.Sleep(relay.Duration(5))
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
--- a/internal/wire/gate/gate_test.go
+++ b/internal/wire/gate/gate_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // visitor is what a pass is meant to be.
@@ -37,7 +37,7 @@
 	f.Add([]byte{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 9, 1, 10, 4, 9, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		const room = 12
-		g := New(memory.NewSetClock(), room, zerolog.Nop())
+		g := New(relay.NewSetClock(), room, zerolog.Nop())
 		var all []*visitor
 		var idle []*visitor
 		held, placed, wanted := 0, 0, 0
--- a/internal/wire/gossip/cells_test.go
+++ b/internal/wire/gossip/cells_test.go
@@ -17,7 +17,7 @@
 	"capersail/internal/fleet/cellplan"
 	"capersail/internal/fleet/cells"
 	"capersail/internal/fleet/membership"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/simnet"
 )
 
@@ -32,7 +32,7 @@
 // lonelyIn is a Node of a cell that doesn't run.
 func lonelyIn(t *testing.T, cell string, plan *cellplan.Plan) *Node {
 	t.Helper()
-	n, err := New(Config{Name: "me", Site: "s", State: filepath.Join(t.TempDir(), "state"), Founders: 3, Relays: 3, Clock: memory.NewClock(), Log: zerolog.Nop(),
+	n, err := New(Config{Name: "me", Site: "s", State: filepath.Join(t.TempDir(), "state"), Founders: 3, Relays: 3, Clock: relay.NewClock(), Log: zerolog.Nop(),
 		Cell: cell, Plan: plan})
 	if err != nil {
 		t.Fatal(err)
@@ -55,7 +55,7 @@
 	})
 	for i := range 6 {
 		c := Config{Name: fmt.Sprintf("r%d", i), Site: "site", Bind: address(i), Seeds: []string{address(0), address(3), address(4)}, State: filepath.Join(dir, fmt.Sprint(i)),
-			InitialPlace: i % 3, Founders: 3, Relays: 6, Seed: uint64(i), Clock: memory.NewClock(), Transport: network.Transport, Log: zerolog.Nop(),
+			InitialPlace: i % 3, Founders: 3, Relays: 6, Seed: uint64(i), Clock: relay.NewClock(), Transport: network.Transport, Log: zerolog.Nop(),
 			Self: func() Self { return Self{Lifecycle: membership.Serving, List: 1} }, Cell: twoCells().Cells[i/3].Name, Plan: twoCells(), Pace: membership.CellPace}
 		node, err := New(c)
 		if err != nil {
--- a/internal/wire/gossip/gossip.go
+++ b/internal/wire/gossip/gossip.go
@@ -25,7 +25,7 @@
 	"capersail/internal/fleet/cellplan"
 	"capersail/internal/fleet/membership"
 	"capersail/internal/fleet/probing"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 const (
@@ -66,7 +66,7 @@
 	// Founders is how many places view 0 has, Relays the settings' number.
 	Founders, Relays int
 	Seed             uint64
-	Clock            *memory.Clock
+	Clock            *relay.Clock
 	Self             func() Self
 	Refresh          func()                   // asks for the list of servers out of turn
 	Notice           func(membership.Changed) // is told of each change; nil for nobody
@@ -229,7 +229,7 @@
 		n.mu.Lock()
 		next := min(n.membership.Next(), n.nextOfCells())
 		n.mu.Unlock()
-		timer.Reset(memory.Duration(max(min(next, looked+membership.MeterInterval)-n.now(), 1)))
+		timer.Reset(relay.Duration(max(min(next, looked+membership.MeterInterval)-n.now(), 1)))
 	}
 }
 
@@ -294,7 +294,7 @@
 func (n *Node) Hold(now float64) decide.Fleet {
 	n.mu.Lock()
 	own := n.now()
-	return memory.Reckon(now, own, n.membership.Estimate(own), n.zone)
+	return relay.Reckon(now, own, n.membership.Estimate(own), n.zone)
 }
 
 // Release ends a Hold.
--- a/internal/wire/gossip/moves_test.go
+++ b/internal/wire/gossip/moves_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/fleet/membership"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/simnet"
 )
 
@@ -20,7 +20,7 @@
 	t.Helper()
 	node, err := New(Config{Name: fmt.Sprintf("r%d", i), Site: "site", Bind: address(i), Seeds: seeds,
 		State: filepath.Join(dir, fmt.Sprintf("%s-%d", cell, i)), InitialPlace: -1, Founders: 3, Relays: 6, Seed: uint64(i),
-		Clock: memory.NewClock(), Transport: network.Transport, Log: zerolog.Nop(),
+		Clock: relay.NewClock(), Transport: network.Transport, Log: zerolog.Nop(),
 		Self: func() Self { return Self{Lifecycle: membership.Serving, List: 1} }, Cell: cell, Plan: twoCells(), Pace: membership.CellPace})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // WriteWithin bounds every write: a peer that takes nothing for so long has its connection ended.
@@ -32,7 +32,7 @@
 type End struct {
 	mu     sync.Mutex
 	Conn   net.Conn // nil while it is dialled
-	Clock  *memory.Clock
+	Clock  *relay.Clock
 	Stop   func() // ends the dial, if there is one
 	woken  bool
 	closed bool
@@ -184,7 +184,7 @@
 
 // Close ends the connection: cleanly, with a bounded wait for the peer's end, or with a reset. The
 // goroutine that reads the connection closes it for good.
-func (e *End) Close(how memory.Ending) {
+func (e *End) Close(how relay.Ending) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
@@ -197,7 +197,7 @@
 	half, ok := e.Conn.(interface{ CloseWrite() error }) // TCP and TLS have it
 	switch {
 	case e.Conn == nil:
-	case ok && how == memory.Clean:
+	case ok && how == relay.Clean:
 		half.CloseWrite()
 		if !e.hurry {
 			e.Conn.SetReadDeadline(e.Clock.Wall(e.Clock.Now() + lingerFor))
@@ -218,7 +218,7 @@
 // that goes on sending is left to its full buffers until then, so that it can read the last line first.
 func (e *End) Drain() {
 	began := e.Clock.Now()
-	e.Close(memory.Clean)
+	e.Close(relay.Clean)
 	if n, err := io.Copy(io.Discard, io.LimitReader(e.Conn, lingerBytes)); n == lingerBytes && err == nil {
 		e.mu.Lock()
 		hurried := e.hurriedly()
@@ -255,11 +255,11 @@
 }
 
 // Ending tells a clean end from a break.
-func Ending(err error) memory.Ending {
+func Ending(err error) relay.Ending {
 	if errors.Is(err, io.EOF) {
-		return memory.Clean
+		return relay.Clean
 	}
-	return memory.Broken
+	return relay.Broken
 }
 
 // TimedOut tells whether a deadline or a wake cut a read short.
@@ -270,7 +270,7 @@
 	if err := reach(ctx, addr, within); err != nil {
 		return nil, err
 	}
-	d := net.Dialer{Timeout: memory.Duration(max(within, 1)), KeepAlive: -1}
+	d := net.Dialer{Timeout: relay.Duration(max(within, 1)), KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // pair is two ends of one TCP connection.
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { peer.Close(); own.Close() })
-	return &End{Conn: own, Clock: memory.NewClock()}, peer.(*net.TCPConn)
+	return &End{Conn: own, Clock: relay.NewClock()}, peer.(*net.TCPConn)
 }
 
 // await waits until something has come, which loopback brings in its own time.
@@ -85,7 +85,7 @@
 // the linger has begun, so without Hurry it would last as long.
 func TestHurryEndsALinger(t *testing.T) {
 	e, peer := pair(t)
-	e.Clock = memory.NewSetClock()
+	e.Clock = relay.NewSetClock()
 	e.Pass([]byte("BUSY\r\n"))
 	done := make(chan struct{})
 	go func() { defer close(done); e.Drain() }()
--- a/internal/wire/link/seam_faults.go
+++ b/internal/wire/link/seam_faults.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"capersail/internal/fault"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 )
 
 // reach waits in vain for a server that the rules keep out of reach.
@@ -22,7 +22,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(memory.Duration(max(within, 1))):
+	case <-time.After(relay.Duration(max(within, 1))):
 		return os.ErrDeadlineExceeded
 	}
 }
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -7,7 +7,7 @@
 	"net"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/resume"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
@@ -18,8 +18,8 @@
 
 // Front is the client side: it speaks with each client in a goroutine of its own.
 type Front struct {
-	X    *memory.Exchange
-	Site *memory.Site
+	X    *relay.Exchange
+	Site *relay.Site
 	Gate *gate.Gate
 	// Resume lets streams go on elsewhere; nil where that is off.
 	Resume *resume.Service
@@ -47,7 +47,7 @@
 
 // first takes a connection up to its request. Nil means that it has its answer, or that none is due: it said
 // nothing in time, or had to make room for others.
-func (f *Front) first(p *gate.Pass, e *link.End, in *lines) *memory.Call {
+func (f *Front) first(p *gate.Pass, e *link.End, in *lines) *relay.Call {
 	last := false // what has come is all that counts: its time is up, its place is wanted, or the relay leaves
 	for range maxPings {
 		line, err := in.next()
@@ -108,9 +108,9 @@
 }
 
 // ask puts a first line into the module's numbers.
-func (f *Front) ask(line []byte, err error) (memory.Ask, string, error) {
+func (f *Front) ask(line []byte, err error) (relay.Ask, string, error) {
 	if err != nil {
-		return memory.Ask{}, "", err
+		return relay.Ask{}, "", err
 	}
 	parse := parseOpening
 	if f.Resume != nil {
@@ -118,26 +118,26 @@
 	}
 	o, err := parse(line)
 	if err != nil {
-		return memory.Ask{}, "", err
+		return relay.Ask{}, "", err
 	}
 	class, ok := f.Site.Classes[o.class]
 	if !ok {
-		return memory.Ask{}, "", fmt.Errorf("unknown class %q", o.class)
+		return relay.Ask{}, "", fmt.Errorf("unknown class %q", o.class)
 	}
 	tenant, ok := f.Site.Tenants[o.tenant]
 	if !ok {
 		tenant = decide.NoTenant
 	}
 	left := o.left
-	if longest := memory.Millis(f.Site.Settings.Classes[class].Deadline); longest > 0 && o.at == "" {
+	if longest := relay.Millis(f.Site.Settings.Classes[class].Deadline); longest > 0 && o.at == "" {
 		left = min(left, longest) // no client of the class waits for longer, whatever it says
 	}
-	ask := memory.Ask{Name: o.id, Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: left,
+	ask := relay.Ask{Name: o.id, Class: class, Tenant: tenant, Key: o.key, Group: o.group, Hint: o.hint, Left: left,
 		Returned: o.returned, Payload: o}
 	if o.resume != "" {
 		st, err := f.stream(o)
 		if err != nil {
-			return memory.Ask{}, "", err
+			return relay.Ask{}, "", err
 		}
 		ask.Claim, ask.Returned = st, ask.Returned || st.Wait()
 	}
@@ -146,7 +146,7 @@
 
 // follow reads the client until its end. Before the call is up a wake means an answer; after that the
 // server side writes to the client, and this goroutine only passes on what the client sends.
-func (f *Front) follow(call *memory.Call, e *link.End, in *lines) {
+func (f *Front) follow(call *relay.Call, e *link.End, in *lines) {
 	st := streamOf(call)
 	for {
 		line, err := in.next()
@@ -170,7 +170,7 @@
 			remote.Pass(line) // if that fails, the server side meets the same break and ends both
 		case link.TimedOut(err):
 			e.Rest()
-			if state, _ := call.State(); state == memory.Ended || e.Over() { // answered, or ended by its server
+			if state, _ := call.State(); state == relay.Ended || e.Over() { // answered, or ended by its server
 				f.answer(call, e)
 				return
 			}
@@ -183,16 +183,16 @@
 }
 
 // answer writes the final answer of a call that did not come up.
-func (f *Front) answer(call *memory.Call, e *link.End) {
+func (f *Front) answer(call *relay.Call, e *link.End) {
 	_, a := call.State()
 	switch {
-	case a.Kind == memory.Refused && a.RetryAfter > 0:
+	case a.Kind == relay.Refused && a.RetryAfter > 0:
 		e.Pass(fmt.Appendf(nil, "BUSY %d\r\n", int(math.Ceil(a.RetryAfter))))
-	case a.Kind == memory.Refused:
+	case a.Kind == relay.Refused:
 		e.Pass([]byte("BUSY\r\n"))
-	case a.Kind == memory.Failed && a.Note != "":
+	case a.Kind == relay.Failed && a.Note != "":
 		e.Pass([]byte("ERR resume " + a.Note + "\r\n"))
-	case a.Kind == memory.Failed:
+	case a.Kind == relay.Failed:
 		e.Pass([]byte("ERR\r\n"))
 	}
 }
--- a/internal/wire/platform/line.go
+++ b/internal/wire/platform/line.go
@@ -13,7 +13,7 @@
 	"strings"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/resume"
 )
 
@@ -217,5 +217,5 @@
 	if x, err := strconv.ParseUint(text, 16, 64); err == nil {
 		return x
 	}
-	return memory.ServerKey(text)
+	return relay.ServerKey(text)
 }
--- a/internal/wire/platform/moments_test.go
+++ b/internal/wire/platform/moments_test.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
 )
@@ -34,7 +34,7 @@
 	} {
 		for line, want := range map[string]string{open + "\r\n": "UP a1", "PING\r\n": "PONG", open: "end", "": "end"} {
 			_, x, _ := serve(t, "UP")
-			site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{Classes: []decide.ClassInfo{{}}}}
+			site := &relay.Site{Classes: map[string]decide.Class{"m": 0}, Settings: decide.Settings{Classes: []decide.ClassInfo{{}}}}
 			f := &Front{X: x, Site: site, Gate: gate.New(x.Clock, 24, zerolog.Nop())}
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -87,7 +87,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		call := x.Open(memory.Ask{Name: "a1", Left: 500, Payload: o}, e)
+		call := x.Open(relay.Ask{Name: "a1", Left: 500, Payload: o}, e)
 		<-call.Settled()
 		if n := len(servers[0].Firsts); n > 0 {
 			t.Errorf("%s: %d first lines were sent", name, n)
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/standin"
 	"capersail/internal/wire/gate"
 )
@@ -104,14 +104,14 @@
 func (noList) Fetch() {}
 
 // serve starts both sides with servers that answer as told, by the id of each.
-func serve(t *testing.T, answers ...string) (address string, x *memory.Exchange, servers []*standin.TileServer) {
+func serve(t *testing.T, answers ...string) (address string, x *relay.Exchange, servers []*standin.TileServer) {
 	t.Helper()
-	clock := memory.NewClock()
-	site := &memory.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
-		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(900), Tick: memory.Duration(5),
-		ConnectTimeout: memory.Duration(1000), Classes: []decide.ClassInfo{{Aim: memory.Duration(300), Deadline: memory.Duration(600)}}}}
-	x = memory.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, LoadKey: "x0", Keep: 4})
-	var list []memory.Listed
+	clock := relay.NewClock()
+	site := &relay.Site{Classes: map[string]decide.Class{"m": 0}, LoadKey: "x0", Settings: decide.Settings{Relays: 1, Zones: 1,
+		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: relay.Duration(900), Tick: relay.Duration(5),
+		ConnectTimeout: relay.Duration(1000), Classes: []decide.ClassInfo{{Aim: relay.Duration(300), Deadline: relay.Duration(600)}}}}
+	x = relay.NewExchange(site, clock, &Servers{Clock: clock, ConnectTimeout: 1000, LoadKey: "x0", Keep: 4})
+	var list []relay.Listed
 	for i, answer := range answers {
 		s, err := standin.NewTileServer("127.0.0.1:0", answer)
 		if err != nil {
@@ -119,7 +119,7 @@
 		}
 		t.Cleanup(s.Close)
 		servers = append(servers, s)
-		list = append(list, memory.Listed{ID: fmt.Sprint("s", i), Address: s.Address, Mode: decide.Ready})
+		list = append(list, relay.Listed{ID: fmt.Sprint("s", i), Address: s.Address, Mode: decide.Ready})
 	}
 	x.Members(decide.Whole, list)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -128,7 +128,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	go (&Front{X: x, Site: site, Gate: gate.New(clock, 24, zerolog.Nop())}).Serve(l)
-	go memory.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
+	go relay.NewCore(x, 7, noList{}, zerolog.Nop()).Run(t.Context())
 	return l.Addr().String(), x, servers
 }
 
--- a/internal/wire/platform/resume.go
+++ b/internal/wire/platform/resume.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/resume"
 	"capersail/internal/wire/link"
 )
@@ -15,7 +15,7 @@
 // meet a nil once and nothing more.
 
 // streamOf is the call's stream, nil if its client did not ask for one.
-func streamOf(c *memory.Call) *resume.Stream {
+func streamOf(c *relay.Call) *resume.Stream {
 	st, _ := c.Claim.(*resume.Stream)
 	return st
 }
@@ -38,7 +38,7 @@
 var unwilling = map[string]string{"STALE": resume.NoteBehind, "AHEAD": resume.NoteAhead}
 
 // tell is what a server that takes streams up is told beyond the client's line.
-func tell(c *memory.Call, a memory.Attempt) (more string, told bool) {
+func tell(c *relay.Call, a relay.Attempt) (more string, told bool) {
 	st := streamOf(c)
 	if st == nil {
 		return "", false
@@ -67,7 +67,7 @@
 }
 
 // begin is the server's UP, with what the client is to know beyond it: a gap, and its token.
-func begin(e *link.End, st *resume.Stream, a memory.Attempt, up []byte) []byte {
+func begin(e *link.End, st *resume.Stream, a relay.Attempt, up []byte) []byte {
 	out := append([]byte(nil), up...)
 	first, stated := uint64(0), false
 	for _, field := range strings.Fields(string(up)) {
@@ -142,7 +142,7 @@
 // part ends a stream at its server, and only then lets it be another relay's.
 func part(e *link.End, st *resume.Stream) {
 	if st != nil {
-		e.Close(memory.Clean)
+		e.Close(relay.Clean)
 		e.Conn.Close()
 		st.ReleaseNow()
 	}
--- a/internal/wire/platform/server.go
+++ b/internal/wire/platform/server.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/resume"
 	"capersail/internal/wire/link"
 )
@@ -24,7 +24,7 @@
 
 // Servers is the server side: it dials, passes lines back, classifies how attempts end, and probes.
 type Servers struct {
-	Clock          *memory.Clock
+	Clock          *relay.Clock
 	ConnectTimeout float64
 	LoadKey        string
 	Keep           int64 // how many connections may be kept for probes
@@ -35,9 +35,9 @@
 }
 
 // Try makes one attempt in a goroutine of its own.
-func (s *Servers) Try(c *memory.Call, a memory.Attempt) { go s.try(c, a) }
+func (s *Servers) Try(c *relay.Call, a relay.Attempt) { go s.try(c, a) }
 
-func (s *Servers) try(c *memory.Call, a memory.Attempt) {
+func (s *Servers) try(c *relay.Call, a relay.Attempt) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	e := &link.End{Clock: s.Clock, Stop: stop}
@@ -63,13 +63,13 @@
 	status, load := s.converse(c, a, e)
 	// Before the outcome is told: a timed-out attempt that still stands while the next one is sent is a
 	// second copy.
-	e.Close(memory.Clean)
+	e.Close(relay.Clean)
 	conn.Close()
 	c.Over(a.No, status, load)
 }
 
 // converse sends the first line and follows the connection to its end, for PROTOCOL's table.
-func (s *Servers) converse(c *memory.Call, a memory.Attempt, e *link.End) (decide.Status, decide.Report) {
+func (s *Servers) converse(c *relay.Call, a relay.Attempt, e *link.End) (decide.Status, decide.Report) {
 	more, told := tell(c, a)
 	if e.Pass(c.Payload.(*opening).line(a.Until-s.Clock.Now(), more)) != nil {
 		return decide.ConnectFailed, decide.NoReport
@@ -115,7 +115,7 @@
 
 // carry passes lines from the server to the client until one side ends, or the client is to be moved.
 // It alone writes to a client whose call is up, so MOVE always stands between two lines.
-func (s *Servers) carry(c *memory.Call, a memory.Attempt, e *link.End, in *lines, line []byte) (decide.Status, decide.Report) {
+func (s *Servers) carry(c *relay.Call, a relay.Attempt, e *link.End, in *lines, line []byte) (decide.Status, decide.Report) {
 	client := c.Up(a.No)
 	if client == nil {
 		return decide.Cancelled, decide.NoReport
@@ -136,7 +136,7 @@
 		}
 		if err := client.Pass(line); err != nil {
 			part(e, st)
-			client.Close(memory.Broken) // a client that takes nothing for a second has left
+			client.Close(relay.Broken) // a client that takes nothing for a second has left
 			return decide.Cancelled, load
 		}
 		if st != nil && !within && passed(st, line) != nil {
@@ -178,7 +178,7 @@
 
 // depart sends the client away. A stream that may go on elsewhere is ended at its server and given back first:
 // the client may be at the next relay within a millisecond.
-func (s *Servers) depart(c *memory.Call, e *link.End, client memory.Client, st *resume.Stream, within bool,
+func (s *Servers) depart(c *relay.Call, e *link.End, client relay.Client, st *resume.Stream, within bool,
 	load decide.Report) (decide.Status, decide.Report) {
 	part(e, st)
 	status := decide.Cancelled
@@ -186,16 +186,16 @@
 		status = decide.Reset
 	}
 	if within {
-		client.Close(memory.Broken)
+		client.Close(relay.Broken)
 		return decide.Cancelled, load
 	}
 	client.Pass(append(tokenLine(st), "MOVE\r\n"...))
-	client.Close(memory.Clean)
+	client.Close(relay.Clean)
 	return status, load
 }
 
 // heard looks at a line on its way to the client. It returns what the connection's end would mean now.
-func (s *Servers) heard(c *memory.Call, line []byte) (decide.Status, decide.Report) {
+func (s *Servers) heard(c *relay.Call, line []byte) (decide.Status, decide.Report) {
 	switch first, rest := word(line); first {
 	case "LOAD":
 		if x, err := strconv.ParseFloat(rest, 64); err == nil && x >= 0 {
@@ -218,7 +218,7 @@
 }
 
 // Probe asks a server for its load, on a connection that is kept from one probe to the next.
-func (s *Servers) Probe(to memory.Server, done func(decide.Status, decide.Report)) {
+func (s *Servers) Probe(to relay.Server, done func(decide.Status, decide.Report)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.probers == nil {
--- a/internal/wire/xmpp/client.go
+++ b/internal/wire/xmpp/client.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/gate"
 	"capersail/internal/wire/link"
 )
@@ -25,7 +25,7 @@
 
 // Front is the client side.
 type Front struct {
-	X     *memory.Exchange
+	X     *relay.Exchange
 	Hosts map[string]Host
 	TLS   atomic.Pointer[tls.Config] // for new connections; nil only where the operator's file allows plaintext
 	Gate  *gate.Gate
@@ -40,7 +40,7 @@
 	st := newStream(e)
 	e.Until(p.Until)
 	r, host, err := f.header(e, st, p.Until)
-	var call *memory.Call
+	var call *relay.Call
 	switch {
 	case err != nil:
 		f.Gate.Log.Warn().Err(err).Str("to", st.to).Msg("stream refused before it was placed")
@@ -49,7 +49,7 @@
 		st.finish("resource-constraint", retryAfter(500))
 	default:
 		e.Until(0)
-		call = f.X.Open(memory.Ask{Class: host.Class, Tenant: host.Tenant, Key: host.Key, Left: host.Left, Payload: st}, clientEnd{e, st})
+		call = f.X.Open(relay.Ask{Class: host.Class, Tenant: host.Tenant, Key: host.Key, Left: host.Left, Payload: st}, clientEnd{e, st})
 		f.follow(call, st, r)
 	}
 	p.Ending()
@@ -80,7 +80,7 @@
 		return r, host, err
 	}
 	secure := tls.Server(e.Conn, config)
-	ctx, stop := context.WithTimeout(context.Background(), memory.Duration(until-f.X.Clock.Now()))
+	ctx, stop := context.WithTimeout(context.Background(), relay.Duration(until-f.X.Clock.Now()))
 	defer stop()
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return r, host, fmt.Errorf("TLS: %w", err)
@@ -122,7 +122,7 @@
 }
 
 // follow reads the client until its end, and queues what it sends for the server side.
-func (f *Front) follow(call *memory.Call, st *stream, r *reader) {
+func (f *Front) follow(call *relay.Call, st *stream, r *reader) {
 	defer st.leave()
 	for {
 		it, err := r.next()
@@ -136,7 +136,7 @@
 			call.Nudge()
 		case link.TimedOut(err):
 			st.client.Rest()
-			if state, answer := call.State(); state == memory.Ended || st.client.Over() {
+			if state, answer := call.State(); state == relay.Ended || st.client.Over() {
 				f.answer(st, answer)
 				return
 			}
@@ -144,12 +144,12 @@
 		case ours(err):
 			f.Gate.Log.Warn().Err(err).Str("to", st.to).Msg("stream ended for what its client sent")
 			st.finish(err.Error(), "")
-			call.Leave(memory.Clean)
+			call.Leave(relay.Clean)
 			return
 		default:
 			// A client that ends its connection in order may have stanzas in the queue: they go out first.
 			state, _ := call.State()
-			if link.Ending(err) == memory.Clean && state == memory.Up && st.push(item{kind: closed, raw: []byte("</stream:stream>")}) {
+			if link.Ending(err) == relay.Clean && state == relay.Up && st.push(item{kind: closed, raw: []byte("</stream:stream>")}) {
 				call.Nudge()
 				st.wait()
 			}
@@ -160,11 +160,11 @@
 }
 
 // answer tells the client the final answer of a stream that did not come up.
-func (f *Front) answer(st *stream, a memory.Answer) {
+func (f *Front) answer(st *stream, a relay.Answer) {
 	switch a.Kind {
-	case memory.Refused:
+	case relay.Refused:
 		st.finish("resource-constraint", retryAfter(a.RetryAfter))
-	case memory.Failed:
+	case relay.Failed:
 		switch {
 		case st.why() != "":
 			st.finish(st.why(), "")
--- a/internal/wire/xmpp/server.go
+++ b/internal/wire/xmpp/server.go
@@ -9,14 +9,14 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 )
 
 // Servers is the server side: it dials, carries set-up and stanzas, classifies how attempts end, and
 // notices silence.
 type Servers struct {
-	Clock          *memory.Clock
+	Clock          *relay.Clock
 	ConnectTimeout float64
 	ProbeTo        string  // the host that a probe's stream names
 	Silent         float64 // a server that has confirmed nothing for so long is given up
@@ -24,9 +24,9 @@
 }
 
 // Try makes one attempt in a goroutine of its own.
-func (s *Servers) Try(c *memory.Call, a memory.Attempt) { go s.try(c, a) }
+func (s *Servers) Try(c *relay.Call, a relay.Attempt) { go s.try(c, a) }
 
-func (s *Servers) try(c *memory.Call, a memory.Attempt) {
+func (s *Servers) try(c *relay.Call, a relay.Attempt) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	e := &link.End{Clock: s.Clock, Stop: stop}
@@ -48,10 +48,10 @@
 	st := c.Payload.(*stream)
 	at := &attempt{s: s, c: c, a: a, e: e, st: st, r: newReader(conn)}
 	status := at.setUp()
-	e.Close(memory.Clean)
+	e.Close(relay.Clean)
 	conn.Close()
 	c.Over(a.No, status, decide.NoReport)
-	if state, _ := c.State(); state == memory.Ended {
+	if state, _ := c.State(); state == relay.Ended {
 		st.leave()
 	}
 }
@@ -59,8 +59,8 @@
 // attempt is one connection to a server.
 type attempt struct {
 	s  *Servers
-	c  *memory.Call
-	a  memory.Attempt
+	c  *relay.Call
+	a  relay.Attempt
 	e  *link.End
 	st *stream
 	r  *reader
@@ -145,7 +145,7 @@
 			if it.kind == closed {
 				at.e.Pass(it.raw)
 				at.st.finish("", "")
-				at.c.Leave(memory.Clean)
+				at.c.Leave(relay.Clean)
 				return decide.Cancelled
 			}
 			sent = true
@@ -307,7 +307,7 @@
 		}
 	}
 	at.st.finish(condition, "")
-	at.st.client.Close(memory.Clean)
+	at.st.client.Close(relay.Clean)
 	return status
 }
 
@@ -338,11 +338,11 @@
 }
 
 // Probe opens a stream and waits for the server's start tag. Load comes from the server's own node.
-func (s *Servers) Probe(to memory.Server, done func(decide.Status, decide.Report)) {
+func (s *Servers) Probe(to relay.Server, done func(decide.Status, decide.Report)) {
 	go func() { done(s.probe(to)) }()
 }
 
-func (s *Servers) probe(to memory.Server) (decide.Status, decide.Report) {
+func (s *Servers) probe(to relay.Server) (decide.Status, decide.Report) {
 	report := decide.NoReport
 	report.Load = to.Load
 	conn, err := link.Dial(context.Background(), to.Address, s.ConnectTimeout)
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 )
 
@@ -225,4 +225,4 @@
 // Pending is the client's end only: it may say something at any time.
 func (c clientEnd) Pending() bool { return c.End.Ended() }
 
-var _ memory.Client = clientEnd{}
+var _ relay.Client = clientEnd{}
--- a/internal/wire/zookeeper/session.go
+++ b/internal/wire/zookeeper/session.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 )
 
@@ -70,7 +70,7 @@
 // they are written together, without waiting for one another's answers, and answered in their order.
 type Session struct {
 	Timeout float64 // wanted, in milliseconds
-	Clock   *memory.Clock
+	Clock   *relay.Clock
 	Log     zerolog.Logger
 	Events  Events
 
@@ -99,7 +99,7 @@
 }
 
 // NewSession returns a session that Run begins.
-func NewSession(addresses []string, timeout float64, clock *memory.Clock, events Events, log zerolog.Logger) *Session {
+func NewSession(addresses []string, timeout float64, clock *relay.Clock, events Events, log zerolog.Logger) *Session {
 	return &Session{Timeout: timeout, Clock: clock, Log: log, Events: events, addresses: addresses,
 		next: rand.IntN(max(1, len(addresses))), kick: make(chan struct{}, 1)}
 }
--- a/internal/wire/zookeeper/session_test.go
+++ b/internal/wire/zookeeper/session_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/standin"
 )
 
@@ -64,7 +64,7 @@
 	}
 	t.Cleanup(zk.Close)
 	w := &watcher{}
-	s := NewSession([]string{zk.Address}, 1000, memory.NewClock(), w, zerolog.Nop())
+	s := NewSession([]string{zk.Address}, 1000, relay.NewClock(), w, zerolog.Nop())
 	go s.Run(t.Context())
 	w.wait(t, "connected for 1000 ms", 1)
 	return zk, s, w
--- a/internal/wire/zookeeper/zookeeper.go
+++ b/internal/wire/zookeeper/zookeeper.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fastjson"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 )
 
@@ -59,11 +59,11 @@
 	return slices.Equal(e.Addresses, o.Addresses) && e.Path == o.Path && e.Session == o.Session
 }
 
-// Client follows one path. It implements memory.Discovery: the module says when to watch again after a
+// Client follows one path. It implements relay.Discovery: the module says when to watch again after a
 // failure, with jitter.
 type Client struct {
 	Ensemble
-	X   *memory.Exchange
+	X   *relay.Exchange
 	Log zerolog.Logger
 
 	asks  chan struct{}
@@ -77,15 +77,15 @@
 	secret  []byte
 	zxid    int64
 	next    int // which address to try
-	nodes   map[string]memory.Listed
+	nodes   map[string]relay.Listed
 	granted float64
 }
 
 // NewClient returns a client of a service.
-func NewClient(e Ensemble, x *memory.Exchange, log zerolog.Logger) *Client {
+func NewClient(e Ensemble, x *relay.Exchange, log zerolog.Logger) *Client {
 	e.Path = strings.TrimRight(e.Path, "/")
 	return &Client{Ensemble: e, wanted: e, X: x, Log: log, asks: make(chan struct{}, 1), moved: make(chan struct{}, 1),
-		nodes: map[string]memory.Listed{}}
+		nodes: map[string]relay.Listed{}}
 }
 
 // Move follows another service, or another path, at once. The connection that is open is ended, and the
@@ -166,7 +166,7 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	clock *memory.Clock
+	clock *relay.Clock
 	xid   int32
 	paths map[int32]string // data asked for and not answered, by xid
 	list  int32            // xid of the children asked for, 0 if none
@@ -298,7 +298,7 @@
 		}
 	}
 	if n.first { // who is not there any more is missing from the whole list told below
-		c.nodes = map[string]memory.Listed{}
+		c.nodes = map[string]relay.Listed{}
 	}
 	for name := range c.nodes {
 		if !here[name] {
@@ -328,7 +328,7 @@
 		return
 	}
 	n.first = false
-	list := make([]memory.Listed, 0, len(c.nodes))
+	list := make([]relay.Listed, 0, len(c.nodes))
 	for _, l := range c.nodes {
 		list = append(list, l)
 	}
@@ -340,7 +340,7 @@
 	if l, known := c.nodes[name]; known {
 		delete(c.nodes, name)
 		l.Mode = decide.GoneMode
-		c.X.Members(decide.Delta, []memory.Listed{l})
+		c.X.Members(decide.Delta, []relay.Listed{l})
 	}
 }
 
@@ -359,17 +359,17 @@
 	}
 	c.nodes[name] = l
 	if !n.first {
-		c.X.Members(decide.Delta, []memory.Listed{l})
+		c.X.Members(decide.Delta, []relay.Listed{l})
 	}
 }
 
 // node reads a node's JSON.
-func node(name string, data []byte) (memory.Listed, error) {
+func node(name string, data []byte) (relay.Listed, error) {
 	v, err := fastjson.ParseBytes(data)
 	if err != nil {
-		return memory.Listed{}, fmt.Errorf("data: %w", err)
+		return relay.Listed{}, fmt.Errorf("data: %w", err)
 	}
-	l := memory.Listed{ID: name, Address: string(v.GetStringBytes("address")), Zone: string(v.GetStringBytes("zone")),
+	l := relay.Listed{ID: name, Address: string(v.GetStringBytes("address")), Zone: string(v.GetStringBytes("zone")),
 		Cell: int32(v.GetInt("cell")), Started: v.GetFloat64("startedAtMs"), Load: -1}
 	if load := v.Get("load"); load != nil {
 		l.Load = max(load.GetFloat64(), 0)
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -23,7 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
-	"capersail/internal/memory"
+	"capersail/internal/relay"
 	"capersail/internal/wire/link"
 	"capersail/internal/wire/zookeeper"
 )
@@ -43,8 +43,8 @@
 
 // Dialer places connections. It is safe for use by many goroutines.
 type Dialer struct {
-	x     *memory.Exchange
-	clock *memory.Clock
+	x     *relay.Exchange
+	clock *relay.Clock
 	cfg   Config
 	stop  context.CancelFunc
 }
@@ -72,23 +72,23 @@
 			return nil, errors.New("plugin: times must be positive")
 		}
 	}
-	site := &memory.Site{Zones: map[string]decide.Zone{}, Settings: decide.Settings{Relays: max(cfg.Clients, 1), Zones: len(cfg.Zones),
-		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: memory.Duration(cfg.DialMs),
-		ConnectTimeout: memory.Duration(cfg.ConnectMs), Tick: memory.Duration(1), Ask: true,
-		Rules:   decide.Rules{AskWithin: memory.Duration(cfg.SessionMs)},
-		Classes: []decide.ClassInfo{{Aim: memory.Duration(cfg.ConnectMs), Deadline: memory.Duration(cfg.DialMs), Worth: 1}}}}
+	site := &relay.Site{Zones: map[string]decide.Zone{}, Settings: decide.Settings{Relays: max(cfg.Clients, 1), Zones: len(cfg.Zones),
+		MaxAttempts: 2, Probes: true, RetryAfter: true, MaxRetryAfter: relay.Duration(cfg.DialMs),
+		ConnectTimeout: relay.Duration(cfg.ConnectMs), Tick: relay.Duration(1), Ask: true,
+		Rules:   decide.Rules{AskWithin: relay.Duration(cfg.SessionMs)},
+		Classes: []decide.ClassInfo{{Aim: relay.Duration(cfg.ConnectMs), Deadline: relay.Duration(cfg.DialMs), Worth: 1}}}}
 	for i, z := range cfg.Zones {
 		site.Zones[z] = decide.Zone(i)
 	}
 	site.Settings.Zone = site.Zones[cfg.Zone]
 	ctx, stop := context.WithCancel(context.Background())
-	d := &Dialer{clock: memory.NewClock(), cfg: cfg, stop: stop}
-	d.x = memory.NewExchange(site, d.clock, d)
+	d := &Dialer{clock: relay.NewClock(), cfg: cfg, stop: stop}
+	d.x = relay.NewExchange(site, d.clock, d)
 	lister := zookeeper.NewClient(zookeeper.Ensemble{Addresses: cfg.ZooKeeper, Path: cfg.Path, Session: cfg.SessionMs}, d.x, log)
 	d.x.Members(decide.Cached, nil)
 	lister.Watch()
 	go lister.Run(ctx)
-	go memory.NewCore(d.x, rand.Uint64(), lister, log).Run(ctx)
+	go relay.NewCore(d.x, rand.Uint64(), lister, log).Run(ctx)
 	return d, nil
 }
 
@@ -101,38 +101,38 @@
 // waiter is the client side's end of a dial. It learns the end from the call itself.
 type waiter struct{}
 
-func (waiter) Pass([]byte) error   { return nil }
-func (waiter) Close(memory.Ending) {}
-func (waiter) Wake()               {}
-func (waiter) Pending() bool       { return false }
+func (waiter) Pass([]byte) error  { return nil }
+func (waiter) Close(relay.Ending) {}
+func (waiter) Wake()              {}
+func (waiter) Pending() bool      { return false }
 
 // Dial is for grpc.WithContextDialer. The target is not looked at: the core knows where the servers are.
 func (d *Dialer) Dial(ctx context.Context, _ string) (net.Conn, error) {
 	left := d.cfg.DialMs
 	if at, ok := ctx.Deadline(); ok {
-		left = min(left, memory.Millis(time.Until(at)))
+		left = min(left, relay.Millis(time.Until(at)))
 	}
-	call := d.x.Open(memory.Ask{Tenant: decide.NoTenant, Left: max(left, 1)}, waiter{})
+	call := d.x.Open(relay.Ask{Tenant: decide.NoTenant, Left: max(left, 1)}, waiter{})
 	select {
 	case <-call.Settled():
 	case <-ctx.Done():
-		call.Leave(memory.Broken)
+		call.Leave(relay.Broken)
 		return nil, ctx.Err()
 	}
 	if r, ok := call.Remote().(remote); ok {
 		return r.conn, nil
 	}
 	_, a := call.State()
-	if a.Kind == memory.Refused {
-		return nil, &RefusedError{RetryAfter: memory.Duration(a.RetryAfter)}
+	if a.Kind == relay.Refused {
+		return nil, &RefusedError{RetryAfter: relay.Duration(a.RetryAfter)}
 	}
 	return nil, errors.New("no server could be reached")
 }
 
 // Try makes one attempt; it is part of the core's server side.
-func (d *Dialer) Try(c *memory.Call, a memory.Attempt) { go d.try(c, a) }
+func (d *Dialer) Try(c *relay.Call, a relay.Attempt) { go d.try(c, a) }
 
-func (d *Dialer) try(c *memory.Call, a memory.Attempt) {
+func (d *Dialer) try(c *relay.Call, a relay.Attempt) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	placed := &conn{d: d, call: c, no: a.No, stop: stop, first: true}
@@ -156,7 +156,7 @@
 
 // Probe asks whether a server takes connections; it is part of the core's server side. Load comes from the
 // server's own node.
-func (d *Dialer) Probe(to memory.Server, done func(decide.Status, decide.Report)) {
+func (d *Dialer) Probe(to relay.Server, done func(decide.Status, decide.Report)) {
 	go func() {
 		report, status := decide.NoReport, decide.OK
 		report.Load = to.Load
@@ -182,7 +182,7 @@
 type conn struct {
 	net.Conn
 	d    *Dialer
-	call *memory.Call
+	call *relay.Call
 	no   int
 	stop func()
 
@@ -212,7 +212,7 @@
 }
 
 // Close ends the dial or the connection; gRPC meets the end and tells the core.
-func (r remote) Close(memory.Ending) {
+func (r remote) Close(relay.Ending) {
 	r.stop()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,7 +230,7 @@
 	c.up = true
 	woken := c.woken
 	c.mu.Unlock()
-	if state, _ := c.call.State(); state == memory.Ended { // the dial's caller left just now
+	if state, _ := c.call.State(); state == relay.Ended { // the dial's caller left just now
 		c.Close()
 	}
 	if woken {
@@ -256,7 +256,7 @@
 			return
 		}
 		c.leave = true
-		c.timer = time.AfterFunc(memory.Duration(c.d.cfg.DrainMs), func() { c.Conn.Close() })
+		c.timer = time.AfterFunc(relay.Duration(c.d.cfg.DrainMs), func() { c.Conn.Close() })
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}()
 }
