Write once what starts a ground under load, and what counts by kind

Change: startAll and load in internal/proving's tests; one counter type for violations and denials, which does not compile if there are more kinds than it holds. What is tested is unchanged.

--- a/internal/guard/violations.go
+++ b/internal/guard/violations.go
@@ -38,38 +38,33 @@
 // AnswerSlack is how long after a request's time its answer may come, in ms: 20 by the rules and 50 more on sockets.
 const AnswerSlack = 70.0
 
-// Violations counts by rule what was done against it. It is safe for use by many goroutines.
-type Violations struct{ counts [rules]atomic.Uint64 }
+// mostKinds bounds the kinds that a counter tells apart: it does not compile if there are more rules or denials.
+const (
+	mostKinds       = 32
+	_         uint8 = mostKinds - uint8(rules)
+	_         uint8 = mostKinds - uint8(denials)
+)
+
+// counter counts by kind since the process started. The zero one is ready; it is safe for use by many goroutines.
+type counter[Kind ~uint8] struct{ counts [mostKinds]atomic.Uint64 }
 
 // Add counts one.
-func (v *Violations) Add(r Rule) {
-	if r < rules {
-		v.counts[r].Add(1)
+func (c *counter[Kind]) Add(kind Kind) {
+	if kind < mostKinds {
+		c.counts[kind].Add(1)
 	}
 }
 
-// Count is how many there were since the process started.
-func (v *Violations) Count(r Rule) uint64 {
-	if r >= rules {
+// Count is how many there were.
+func (c *counter[Kind]) Count(kind Kind) uint64 {
+	if kind >= mostKinds {
 		return 0
 	}
-	return v.counts[r].Load()
+	return c.counts[kind].Load()
 }
 
-// Denied counts what was not done, by the reason. It is safe for use by many goroutines.
-type Denied struct{ counts [denials]atomic.Uint64 }
+// Violations counts by rule what was done against it.
+type Violations = counter[Rule]
 
-// Add counts one.
-func (d *Denied) Add(why Denial) {
-	if why < denials {
-		d.counts[why].Add(1)
-	}
-}
-
-// Count is how many there were since the process started.
-func (d *Denied) Count(why Denial) uint64 {
-	if why >= denials {
-		return 0
-	}
-	return d.counts[why].Load()
-}
+// Denied counts what was not done, by the reason.
+type Denied = counter[Denial]
--- a/internal/proving/cold_test.go
+++ b/internal/proving/cold_test.go
@@ -1,7 +1,6 @@
 package proving
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -30,19 +29,11 @@
 			g.Discovery.Set(s.ID, s.Address, "Ready")
 		}
 	}
-	for i := range g.Relays {
-		if err := g.Start(i); err != nil {
-			t.Fatal(err)
-		}
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	var tally Tally
-	done := make(chan struct{})
-	defer func() { stop(); <-done }()
+	startAll(t, g)
 	if talk {
 		await(t, patience()+10*time.Second, "at first", g.settled)
 	}
-	go func() { defer close(done); g.Load(ctx, 1, 150, time.Second, &tally) }()
+	tally := load(t, g, 150, time.Second)
 	time.Sleep(2500 * time.Millisecond)
 	playing := make(chan struct{})
 	go func() { defer close(playing); trouble(g) }()
--- a/internal/proving/oldlist_test.go
+++ b/internal/proving/oldlist_test.go
@@ -1,7 +1,6 @@
 package proving
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -15,6 +14,9 @@
 	toldWithin = 6 * time.Second
 	// drainGrace is how long after that something new may still go to a server that drains or is gone, with the sockets' 50 ms.
 	drainGrace = 550 * time.Millisecond
+	// oldListRate is how many clients come in a second, and oldListHold for how long each stays.
+	oldListRate = 90.0
+	oldListHold = 300 * time.Millisecond
 )
 
 // servers starts n servers that take everything, lists them, and returns them.
@@ -64,16 +66,8 @@
 			g := lay(t, Plan{Relays: 3, Alone: true}, 0)
 			all := servers(t, g, 3)
 			proxy := before(t, g, 0)
-			for i := range g.Relays {
-				if err := g.Start(i); err != nil {
-					t.Fatal(err)
-				}
-			}
-			ctx, stop := context.WithCancel(t.Context())
-			var tally Tally
-			done := make(chan struct{})
-			defer func() { stop(); <-done }()
-			go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+			startAll(t, g)
+			tally := load(t, g, oldListRate, oldListHold)
 			await(t, patience(), "all serve", func() error {
 				for _, s := range all {
 					if len(s.Came(0, Now())) < 10 {
@@ -116,16 +110,8 @@
 			t.Parallel()
 			g := lay(t, Plan{Relays: 3, Alone: true}, 0)
 			all := servers(t, g, 3)
-			for i := range g.Relays {
-				if err := g.Start(i); err != nil {
-					t.Fatal(err)
-				}
-			}
-			ctx, stop := context.WithCancel(t.Context())
-			var tally Tally
-			done := make(chan struct{})
-			defer func() { stop(); <-done }()
-			go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+			startAll(t, g)
+			load(t, g, oldListRate, oldListHold)
 			used := func() error {
 				if n := len(all[0].Came(Now()-1000, Now())); n < 5 {
 					return fmt.Errorf("%d connections came to s0 in the last second", n)
@@ -164,15 +150,9 @@
 		if err := g.Reconfigure(i, map[string]any{"known": map[string]any{"generation": 1, "reset": true, "instances": known}}); err != nil {
 			t.Fatal(err)
 		}
-		if err := g.Start(i); err != nil {
-			t.Fatal(err)
-		}
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	var tally Tally
-	done := make(chan struct{})
-	defer func() { stop(); <-done }()
-	go func() { defer close(done); g.Load(ctx, 1, 90, 300*time.Millisecond, &tally) }()
+	startAll(t, g)
+	load(t, g, oldListRate, oldListHold)
 	await(t, patience(), "the others are used", func() error {
 		for _, s := range all[1:] {
 			if n := len(s.Came(Now()-1000, Now())); n < 10 {
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -1,6 +1,7 @@
 package proving
 
 import (
+	"context"
 	"encoding/base64"
 	"fmt"
 	"net"
@@ -71,6 +72,32 @@
 	return g
 }
 
+// startAll starts all relays of a ground.
+func startAll(t *testing.T, g *Ground) {
+	t.Helper()
+	for i := range g.Relays {
+		if err := g.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// load has clients come to a ground's relays, so many a second and each for so long, until the test ends. It returns what they met.
+func load(t *testing.T, g *Ground, rate float64, hold time.Duration) *Tally {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	tally, done := &Tally{}, make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Load(ctx, 1, rate, hold, tally)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return tally
+}
+
 // await fails the test if a condition does not come to hold, and returns how long it took.
 func await(t *testing.T, within time.Duration, what string, check func() error) time.Duration {
 	t.Helper()
