--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"bufio"
 	"os"
 	"reflect"
 	"slices"
@@ -688,24 +687,32 @@
 	}
 }
 
-// The module is printed for the on-call papers.
-func TestModuleFitsTheOnCallPapers(t *testing.T) {
-	f, err := os.Open("decide.go")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	lines := 0
-	for scan, n := bufio.NewScanner(f), 1; scan.Scan(); n++ {
-		if strings.TrimSpace(scan.Text()) != "" {
-			lines++
+// The files that deploy/balancer.toml lists as the decision logic stay small and narrow, each and together.
+func TestDecisionFilesStaySmall(t *testing.T) {
+	const mostInAll, mostInOne, widest = 800, 300, 110
+	all := 0
+	for _, name := range []string{"decide.go", "discovery.go", "placement.go", "probing.go", "rebalance.go", "retry.go"} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := 0
+		for line := range strings.Lines(string(text)) {
+			line = strings.TrimRight(line, "\n")
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if width := len([]rune(line)); width > widest {
+				t.Errorf("%s: a line is %d wide, %d at most: %s", name, width, widest, line)
+			}
 		}
-		if len([]rune(scan.Text())) > 110 {
-			t.Errorf("line %d is %d wide", n, len([]rune(scan.Text())))
+		if lines > mostInOne || lines == 0 {
+			t.Errorf("%s: %d lines that are not blank, %d at most", name, lines, mostInOne)
 		}
+		all += lines
 	}
-	if lines > 650 || lines == 0 {
-		t.Errorf("%d lines that are not blank, 650 at most", lines)
+	if all > mostInAll {
+		t.Errorf("%d lines that are not blank in all, %d at most", all, mostInAll)
 	}
 }
 
--- a/decide/discovery.go
+++ b/decide/discovery.go
@@ -7,9 +7,37 @@
 
 const (
 	firstCall  = 1       // id of the timer for the first call to discovery
-	awaitsList = 1 << 30 // answers to probes that a request waits for while it waits for a list: it is no probe that ends that
+	awaitsList = 1 << 30 // answers to probes wanted by a request that waits for a list: no probe ends its wait
 )
 
+// members follows discovery's list. From the moment a backend is told to drain or to be gone nothing
+// new goes to it (rule 3), long before the grace is over.
+func (b *Balancer) members(e Members) {
+	if e.Kind == Failed {
+		b.asked++
+		least := max(b.set.Tick*100, min(b.turns(), askAgain*3/2)) // beyond 63 relays news goes before turns
+		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(askAgain, least)))
+		return
+	}
+	if e.Kind != Cached { // any list is an answer
+		b.asked = 0
+	} else if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
+		b.askInTurn()
+	}
+	if e.Kind != Delta { // who is not in a whole list is gone
+		for i := range b.fleet {
+			b.enter(Entry{Backend: Backend(i), Zone: b.fleet[i].Zone, Since: b.fleet[i].Since})
+		}
+	}
+	for _, entry := range e.Entries {
+		if s := b.server(entry.Backend); entry.Since != s.Since && b.now-entry.Since < b.set.Rules.Cold {
+			s.chill(entry.Since)
+		}
+		b.enter(entry)
+	}
+	b.listHeard()
+}
+
 // turns is how long all relays take to call discovery, which works through calls in turn, those given up too.
 func (b *Balancer) turns() time.Duration {
 	return min(b.set.Rules.AskWithin/callsAWhile*time.Duration(b.set.Relays), b.set.Rules.AskWithin*3/4)
@@ -21,9 +49,9 @@
 	b.wake(wakeDiscovery, firstCall, time.Duration(b.jitter*float64(b.turns())))
 }
 
-// awaitList holds a request of a relay that has just started until its first list has a backend to use, once and for half of the
-// time that is left; false if there is nothing to wait for. The first call to discovery is made before its turn: a relay that
-// starts alone is not kept waiting for the turns of a fleet.
+// awaitList holds a request of a relay that has just started until its first list has a backend to use, once
+// and for half of the time that is left; false if there is nothing to wait for. The first call to discovery
+// is made before its turn: a relay that starts alone is not kept waiting for the turns of a fleet.
 func (b *Balancer) awaitList(r *request) bool {
 	if b.usedList || r.awaited || !b.set.Ask {
 		return false
