Do not take a lapsed list or a ban for an answer of discovery

Cause: the class of the incident, found as the decision module was split: the Exchange tells the module of a lapsed list, and of bans by hand, as changes of the list, and any list ended the back-off of failed calls to discovery (members, "any list is an answer"), so a relay whose list lapsed called a crowded discovery sooner. Change: such changes are of a kind of their own, Revised.

Measured: TestRevisedListIsNoAnswer (fails with the kind taken as Delta); decide, relay, lifecycle pass.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -687,6 +687,25 @@
 	}
 }
 
+// What the relay itself finds out of its servers is no answer of discovery: the back-off after failed calls goes on.
+func TestRevisedListIsNoAnswer(t *testing.T) {
+	r := newRelay(t, settings(), 1, 2)
+	for range 3 {
+		r.do(Members{Kind: Failed})
+	}
+	r.do(Members{Kind: Revised, Entries: []Entry{{Backend: 0, Mode: Draining}}})
+	if r.b.asked != 3 {
+		t.Errorf("%d failed calls are reckoned with, not 3", r.b.asked)
+	}
+	if r.b.listed() != 1 {
+		t.Errorf("%d backends may be given something, not 1", r.b.listed())
+	}
+	r.do(Members{Kind: Delta})
+	if r.b.asked != 0 {
+		t.Errorf("%d failed calls are reckoned with after an answer", r.b.asked)
+	}
+}
+
 // The files that deploy/balancer.toml lists as the decision logic stay small and narrow, each and together.
 func TestDecisionFilesStaySmall(t *testing.T) {
 	const mostInAll, mostInOne, widest = 800, 300, 110
--- a/decide/discovery.go
+++ b/decide/discovery.go
@@ -19,12 +19,13 @@
 		b.wake(wakeDiscovery, 0, b.jittered(least, b.asked, max(askAgain, least)))
 		return
 	}
-	if e.Kind != Cached { // any list is an answer
+	switch {
+	case e.Kind == Delta || e.Kind == Whole: // any list is an answer
 		b.asked = 0
-	} else if b.set.Ask { // a fixed spread, so that all relays starting at once do not ask at once
+	case e.Kind == Cached && b.set.Ask: // a fixed spread, so that all relays starting at once do not ask at once
 		b.askInTurn()
 	}
-	if e.Kind != Delta { // who is not in a whole list is gone
+	if e.Kind == Whole || e.Kind == Cached { // who is not in a whole list is gone
 		for i := range b.fleet {
 			b.enter(Entry{Backend: Backend(i), Zone: b.fleet[i].Zone, Since: b.fleet[i].Since})
 		}
--- a/decide/types.go
+++ b/decide/types.go
@@ -141,10 +141,11 @@
 
 // The kinds of list.
 const (
-	Delta  ListKind = iota // changed entries only
-	Whole                  // the complete list
-	Cached                 // the complete list as last held, perhaps old
-	Failed                 // no list: a call failed or the subscription broke
+	Delta   ListKind = iota // changed entries only
+	Whole                   // the complete list
+	Cached                  // the complete list as last held, perhaps old
+	Failed                  // no list: a call failed or the subscription broke
+	Revised                 // changed entries by what the relay itself knows; discovery has said nothing
 )
 
 // Report is what a backend says of its load. A field that did not come is negative.
--- a/internal/relay/ops.go
+++ b/internal/relay/ops.go
@@ -152,7 +152,7 @@
 func (x *Exchange) Ban(out map[string]bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	m := decide.Members{Kind: decide.Delta}
+	m := decide.Members{Kind: decide.Revised}
 	x.roster.out = out
 	for _, s := range x.roster.servers {
 		if s.banned == out[s.ID] {
--- a/internal/relay/site.go
+++ b/internal/relay/site.go
@@ -130,7 +130,7 @@
 
 // refresh sets the mode of every server as of now, and returns what that changes for the module.
 func (r *roster) refresh() decide.Members {
-	m := decide.Members{Kind: decide.Delta}
+	m := decide.Members{Kind: decide.Revised}
 	for _, s := range r.servers {
 		if r.setMode(s) {
 			m.Entries = append(m.Entries, r.entry(s))
