--- a/internal/proving/proxy.go
+++ b/internal/proving/proxy.go
@@ -10,13 +10,14 @@
 // ProxyMode is what a Proxy does with connections.
 type ProxyMode uint8
 
-// The modes. A connection that has been through Silent or Trickle is reset when the mode goes back to Pass, since what it lost is lost.
+// The modes. A connection that has been through Silent, Hung or Trickle is reset when the mode goes back to Pass, since what it lost is lost.
 const (
 	Pass    ProxyMode = iota
 	Silent            // connections stay open and new ones are accepted, but nothing passes either way
 	Trickle           // what stands gets a byte each trickleEvery; new connections are silent
 	Down              // connections are reset, and new ones are answered 503 at once
 	Broken            // connections are reset, new ones as soon as they have asked
+	Hung              // connections are reset, new ones are accepted and get no answer
 )
 
 const trickleEvery = 300 * time.Millisecond
@@ -65,7 +66,7 @@
 	defer p.mu.Unlock()
 	for c := range p.open {
 		switch {
-		case mode == Down, mode == Broken, mode == Pass && c.tainted:
+		case mode == Down, mode == Broken, mode == Hung, mode == Pass && c.tainted:
 			c.reset()
 		case mode != Pass:
 			c.tainted = true
@@ -159,7 +160,7 @@
 			mode, changed := p.state()
 			size := len(part)
 			switch mode {
-			case Silent:
+			case Silent, Hung:
 				<-changed
 				continue
 			case Trickle:
@@ -172,7 +173,7 @@
 			part = part[size:]
 		}
 		if err != nil {
-			for mode, changed := p.state(); mode == Silent; mode, changed = p.state() { // an end does not come through either
+			for mode, changed := p.state(); mode == Silent || mode == Hung; mode, changed = p.state() { // an end does not come through either
 				<-changed
 			}
 			return
