Hold pushed lists only as long as what the agent has cannot count as told

Line: ListLease.Until, which knew how long ago discovery was heard and not how the watch had ended.

Change: whoever ends a call to discovery says why (guard.Loss: failed, refused, silent, another address). Lists that are asked for are held as before.

--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/decide"
+	"capersail/internal/guard"
 	"capersail/internal/relay"
 )
 
@@ -39,7 +40,7 @@
 	tell  func(decide.ListKind, []relay.Listed)
 	// heard says that discovery has said something on a call that stands; unheard, that a call has ended or brought nothing.
 	heard   func()
-	unheard func(refused bool)
+	unheard func(why guard.Loss)
 	log     zerolog.Logger
 	quiet   float64       // quietWithin; tests have shorter ones
 	within  float64       // headWithin, the same
@@ -57,6 +58,7 @@
 
 	mu      sync.Mutex
 	address string
+	changed bool               // the address, since the last call began
 	hangUp  context.CancelFunc // ends the call that is out
 }
 
@@ -74,10 +76,25 @@
 	if address == c.address {
 		return
 	}
-	c.address = address
+	c.address, c.changed = address, true
 	c.follow()
 }
 
+// loss is why a call that ended with an error is over.
+func (c *Client) loss(err error) guard.Loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.changed:
+		return guard.AddressChanged
+	case errors.Is(err, errRefused):
+		return guard.ConnectionRefused
+	case errors.Is(err, errSilent):
+		return guard.WatchSilent
+	}
+	return guard.CallFailed
+}
+
 // Generation is the version of the newest list taken in, 0 before the first.
 func (c *Client) Generation() int64 { return c.generation.Load() }
 
@@ -104,6 +121,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call, c.hangUp = context.WithCancel(ctx)
+	c.changed = false
 	select {
 	case <-c.moved:
 		moved = true
@@ -167,7 +185,7 @@
 			return
 		}
 		again = false
-		c.unheard(errors.Is(err, errRefused))
+		c.unheard(c.loss(err))
 		switch {
 		case len(c.moved) > 0:
 		case errors.Is(err, errSilent), errors.Is(err, errDoubted), errors.Is(err, errUnreached):
