Take a missing route for this machine's shortage, and ETIMEDOUT on a watch for a break

A dial that failed with ENETUNREACH counted as the server's failure (link.Undialled): it left the server out and took it for cold, so a moment without a route did that to all of them at once.

Change: ENETUNREACH, ENETDOWN, EPERM and EAGAIN are the machine's own; EHOSTUNREACH, ETIMEDOUT and resets are the server's as before. Only this side's deadline makes a watch silent.

Measured: TestUndialled and TestBrokenIsNotSilent, which fail without the mends (one run each), pass; discovery and link pass.

--- a/internal/wire/discovery/call.go
+++ b/internal/wire/discovery/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -51,7 +52,7 @@
 		switch {
 		case ended:
 			return nil
-		case slow(err):
+		case fellSilent(err):
 			return errSilent
 		case err != nil:
 			return fmt.Errorf("read: %w", err)
@@ -73,6 +74,9 @@
 	return a.err
 }
 
+// fellSilent tells whether this side's deadline ended a read. ETIMEDOUT is the kernel's word that the connection is broken.
+func fellSilent(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // slow tells whether time ran out.
 func slow(err error) bool {
 	var e net.Error
--- a/internal/wire/discovery/moments_test.go
+++ b/internal/wire/discovery/moments_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -202,3 +205,15 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Only this side's deadline says that a watch is silent. A connection that the kernel gives up is broken, as one that is reset is: what a
+// relay's own agent has then counts as told at once.
+func TestBrokenIsNotSilent(t *testing.T) {
+	for err, want := range map[error]bool{os.ErrDeadlineExceeded: true, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ECONNRESET: false,
+		io.EOF: false} {
+		read := &net.OpError{Op: "read", Net: "tcp", Err: err}
+		if got := fellSilent(read); got != want {
+			t.Errorf("%v: %v", err, got)
+		}
+	}
+}
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -234,10 +234,14 @@
 	e.Conn.Close()
 }
 
+// ownShortages are what a dial fails with for want of something on this machine, a route or the right to it among them.
+var ownShortages = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
+	syscall.EPERM, syscall.ENETUNREACH, syscall.ENETDOWN}
+
 // Undialled is the outcome of an attempt whose dial failed. One that failed for want of something of our
 // own, such as descriptors, says nothing of the server: taken for its failure it would leave a sound one out.
 func Undialled(err error) decide.Status {
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+	for _, errno := range ownShortages {
 		if errors.Is(err, errno) {
 			return decide.Moot
 		}
--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -3,9 +3,12 @@
 import (
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"capersail/decide"
 	"capersail/internal/relay"
 )
 
@@ -105,3 +108,21 @@
 		t.Error("it lingers on")
 	}
 }
+
+// What this machine is short of for a moment, or its own missing route, says nothing of the server: taken for its failure it would
+// leave all servers out at once, as cold ones.
+func TestUndialled(t *testing.T) {
+	for err, want := range map[error]decide.Status{
+		syscall.EMFILE: decide.Moot, syscall.ENFILE: decide.Moot, syscall.ENOBUFS: decide.Moot, syscall.ENOMEM: decide.Moot,
+		syscall.EADDRNOTAVAIL: decide.Moot, syscall.EAGAIN: decide.Moot, syscall.EPERM: decide.Moot, syscall.ENETUNREACH: decide.Moot,
+		syscall.ENETDOWN: decide.Moot,
+
+		syscall.ECONNREFUSED: decide.ConnectFailed, syscall.EHOSTUNREACH: decide.ConnectFailed, syscall.ECONNRESET: decide.ConnectFailed,
+		syscall.ETIMEDOUT: decide.ConnectFailed,
+	} {
+		dial := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
+		if got := Undialled(dial); got != want {
+			t.Errorf("%v: %v, want %v", err, got, want)
+		}
+	}
+}
