--- a/internal/capacity/relay_test.go
+++ b/internal/capacity/relay_test.go
@@ -37,8 +37,8 @@
 	if os.Getenv(runAsRelay) != "1" {
 		os.Exit(m.Run())
 	}
-	caught := make(chan os.Signal, 1)
-	signal.Notify(caught, syscall.SIGTERM)
+	caught := make(chan os.Signal, 8)
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	wanted := make(chan os.Signal, 1)
 	signal.Notify(wanted, syscall.SIGUSR1)
 	go func() {
