Answer a lease's renewal once the voter holds the view it is for

Cause: the relay that adopts a view first asks the voters for its renewal before they have adopted it. They answered Reject, and the relay asked again after RenewInterval only, by when the next view was under way. Two views within a lease's time left it unrenewed.

Change: a voter keeps the newest Renew of a view that it does not hold and answers it on adopting that view. It is as if the packet had come late, and a lease counts from when it was asked for, so that no safeguard changes; TestSharesNeverExceedOne, the interleavings and the cells' schedules pass.

--- a/internal/fleet/membership/acceptor.go
+++ b/internal/fleet/membership/acceptor.go
@@ -56,6 +56,9 @@
 		n.send(from, Message{Kind: Learn, View: n.view})
 		return
 	case m.Epoch > n.view.Epoch:
+		if m.Kind == Renew {
+			n.deferred[from] = m
+		}
 		n.send(from, Message{Kind: Reject, Epoch: n.view.Epoch, To: m.From})
 		return
 	case !n.isVoter():
--- a/internal/fleet/membership/chain.go
+++ b/internal/fleet/membership/chain.go
@@ -38,6 +38,7 @@
 	n.saveRecord()
 	n.emit(Changed{Kind: ChangeView, State: v.summary()})
 	n.publish(true)
+	n.answerDeferredRenewals()
 }
 
 // holdView makes a view the one held, in the record too.
--- a/internal/fleet/membership/interleaving_test.go
+++ b/internal/fleet/membership/interleaving_test.go
@@ -33,6 +33,7 @@
 	c.rng, c.actions = rand.New(rand.NewPCG(n.cfg.Seed, 3)), nil
 	c.peers = peerTable{self: n.peers.self, byName: map[string]*Peer{}}
 	c.lease.renewalSentAt = maps.Clone(n.lease.renewalSentAt)
+	c.deferred = maps.Clone(n.deferred)
 	for name, p := range n.peers.byName {
 		*c.peers.entry(name, n.now) = *p
 	}
--- a/internal/fleet/membership/lease.go
+++ b/internal/fleet/membership/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,6 +66,24 @@
 // valid tells whether the share may be taken.
 func (l *lease) valid(now time.Duration) bool { return now < l.validUntil }
 
+// deferredRenewals are, by member, the newest Renew of a view that this voter does not hold yet.
+type deferredRenewals map[string]Message
+
+// answerDeferredRenewals answers, once a view is adopted, the members that have asked by it before. To them it
+// is as if the Renew had been under way until now: a renewal counts from when it was sent.
+func (n *Node) answerDeferredRenewals() {
+	for _, member := range slices.Sorted(maps.Keys(n.deferred)) {
+		renew := n.deferred[member]
+		if renew.Epoch > n.view.Epoch {
+			continue
+		}
+		delete(n.deferred, member)
+		if renew.Epoch == n.view.Epoch {
+			n.onMessage(member, renew)
+		}
+	}
+}
+
 // releaseSlot releases this relay's slot, once a majority that can make a view is alive. From
 // the moment that is on disk the relay takes nothing but what a view grants.
 func (n *Node) releaseSlot() {
--- a/internal/fleet/membership/node.go
+++ b/internal/fleet/membership/node.go
@@ -40,6 +40,7 @@
 	peers      peerTable
 	voting     voting
 	lease      lease
+	deferred   deferredRenewals
 	plans      planState
 	phases     phaseState
 	publisher  statusPublisher
@@ -70,6 +71,7 @@
 		peers:      peerTable{self: cfg.Name, byName: map[string]*Peer{}},
 		voting:     voting{changeWantedSince: -1, viewAcceptedAt: -1},
 		lease:      lease{renewalSentAt: map[string]time.Duration{}, validUntil: duration.Never},
+		deferred:   deferredRenewals{},
 		plans:      planState{file: cfg.Plan, cell: cfg.Cell, adoptedAt: now},
 		phases:     phaseState{agreedAt: -1},
 		safeguards: allSafeguards(),
--- a/internal/fleet/membership/world_test.go
+++ b/internal/fleet/membership/world_test.go
@@ -22,6 +22,7 @@
 	partitioned      map[[2]int]bool // from, to
 	loss             float64
 	maxDelay         float64 // most delay of a packet
+	learnDelay       float64 // how much longer a chosen view takes, in ms: it is large, and goes over TCP
 	duplication      float64
 	maxSum           float64     // the greatest sum of shares met
 	withoutSafeguard func(*Node) // takes a protection out
@@ -198,6 +199,9 @@
 			continue
 		}
 		delay := 1 + w.maxDelay*w.rng.Float64()
+		if m, ok := ev.(MessageReceived); ok && m.Kind == Learn {
+			delay += w.learnDelay
+		}
 		if w.duplication > 0 && w.rng.Float64() < 0.02 {
 			delay += 8000 * w.rng.Float64() // an old packet, still under way
 		}
