Broadcast each relay's newest status: no other one of its length displaces it

What callers saw: a relay that was back in its cell was missed by some of its peers, so that it got no share and its load was not known, until it next had something to tell (5 to 15 s in a cell). Any status could be lost so, also one that says that a relay leaves or holds the newest view, for which shares then wait 4.2 s.

Cause: memberlist's TransmitLimitedQueue numbers messages anew when it runs empty, also where the last message is about to be replaced by a newer one of the same name. The newer one keeps its number, the next message gets the same, and of two with one number, one length and one count of transmissions the tree keeps one. Statuses of relays have mostly one length.

Change: broadcastQueue, a queue by name and count of transmissions, in place of memberlist's; nothing changes on the wire. TestEachRelaysNewestStatusIsBroadcast failed before at each number of replacements over one. memberlist's own queue of alive, suspect and dead messages has the fault still and cannot be reached from here; missing relays are joined again each 0.7 s, which mends what it loses.

--- a/internal/wire/gossip/cell_messages.go
+++ b/internal/wire/gossip/cell_messages.go
@@ -32,27 +32,12 @@
 		return
 	}
 	link.bytesOut.Add(uint64(len(text)))
-	n.mesh.broadcasts.QueueBroadcast(&directoryBroadcast{text})
+	n.mesh.broadcasts.add(directoryBroadcastName, text)
 }
 
-// directoryBroadcast is a directory that is broadcast in the cell; a newer one replaces it, whoever is the
-// representative.
-type directoryBroadcast struct{ text []byte }
-
-// Name is memberlist's; it is no valid name of a relay, as those have printable bytes only.
-func (b *directoryBroadcast) Name() string { return "\x00directory" }
-
-// Invalidates is memberlist's: whether it replaces the other one.
-func (b *directoryBroadcast) Invalidates(other memberlist.Broadcast) bool {
-	_, ok := other.(*directoryBroadcast)
-	return ok
-}
-
-// Message is memberlist's.
-func (b *directoryBroadcast) Message() []byte { return b.text }
-
-// Finished is memberlist's.
-func (b *directoryBroadcast) Finished() {}
+// directoryBroadcastName is the name of directories in the broadcastQueue: a newer one replaces an older one,
+// whoever is the representative. No relay has such a name, as those have printable bytes only.
+const directoryBroadcastName = "\x00directory"
 
 // directoryMark orders the directories of a representative.
 type directoryMark struct{ incarnation, seq uint64 }
@@ -88,7 +73,7 @@
 		return // gossip brings each several times
 	}
 	if forward {
-		n.mesh.broadcasts.QueueBroadcast(&directoryBroadcast{text})
+		n.mesh.broadcasts.add(directoryBroadcastName, text)
 	}
 	n.enqueueCellEvent(link, cells.DirectoryReceived{From: e.From, Directory: d})
 }
--- a/internal/wire/gossip/delegate.go
+++ b/internal/wire/gossip/delegate.go
@@ -31,7 +31,7 @@
 
 // GetBroadcasts is memberlist's.
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.mesh.broadcasts.GetBroadcasts(overhead, limit)
+	return d.mesh.broadcasts.take(overhead, limit)
 }
 
 // LocalState is memberlist's: all statuses known, for a relay that joins or has missed some.
--- a/internal/wire/gossip/node.go
+++ b/internal/wire/gossip/node.go
@@ -52,7 +52,7 @@
 // mesh is this relay's part of memberlist, and what goes out by it.
 type mesh struct {
 	list          atomic.Pointer[memberlist.Memberlist] // nil until it listens
-	broadcasts    *memberlist.TransmitLimitedQueue
+	broadcasts    *broadcastQueue
 	keyring       *memberlist.Keyring // nil where packets are not sealed
 	traffic       *traffic
 	seq           atomic.Uint64 // of the envelopes of this incarnation, but for statuses
@@ -80,10 +80,7 @@
 	n.key = keyOfCell(n.cell)
 	n.mesh.traffic = &traffic{}
 	n.mesh.reliableSends = make(chan struct{}, maxReliableSends)
-	n.mesh.broadcasts = &memberlist.TransmitLimitedQueue{
-		NumNodes:       n.relayCount,
-		RetransmitMult: statusRetransmitMult,
-	}
+	n.mesh.broadcasts = newBroadcastQueue(statusRetransmitMult, n.relayCount)
 	if len(c.Keys) > 0 {
 		keyring, err := memberlist.NewKeyring(c.Keys, c.Keys[0])
 		if err != nil {
--- a/internal/wire/gossip/receive.go
+++ b/internal/wire/gossip/receive.go
@@ -49,7 +49,7 @@
 	}
 	n.enqueueEvent(membership.StatusReceived{Name: e.From, Status: status})
 	if forward {
-		n.mesh.broadcasts.QueueBroadcast(&statusBroadcast{e.From, text})
+		n.mesh.broadcasts.add(e.From, text)
 	}
 }
 
--- a/internal/wire/gossip/send.go
+++ b/internal/wire/gossip/send.go
@@ -64,26 +64,5 @@
 		return
 	}
 	n.peers.setStatus(n.cfg.Name, text)
-	n.mesh.broadcasts.QueueBroadcast(&statusBroadcast{n.cfg.Name, text})
+	n.mesh.broadcasts.add(n.cfg.Name, text)
 }
-
-// statusBroadcast is a status that is broadcast; a newer one of the same relay replaces it.
-type statusBroadcast struct {
-	name string
-	text []byte
-}
-
-// Name is the relay's.
-func (b *statusBroadcast) Name() string { return b.name }
-
-// Invalidates is memberlist's: whether it replaces the other one.
-func (b *statusBroadcast) Invalidates(other memberlist.Broadcast) bool {
-	o, ok := other.(*statusBroadcast)
-	return ok && o.name == b.name
-}
-
-// Message is memberlist's.
-func (b *statusBroadcast) Message() []byte { return b.text }
-
-// Finished is memberlist's.
-func (b *statusBroadcast) Finished() {}
