Miss a relay that answers probes from another cell

What callers saw: a relay that was killed and started in another cell under its name and address, or that left unheard, stayed a member of its old cell for good; nobody took its share of the budgets there.

Cause: memberlist's probes know names and addresses, and no cells, so the successor in the other cell answered for it.

Change: the answer to a probe carries the answering relay's cell, by memberlist's ping delegate; a peer that answers from another cell counts as failed until it answers from this one. Older programs send nothing there, and nothing changes between them and this one. In the test, startIn's end is split into leaving and ending, so that a relay can be killed; its checks are as they were.

--- a/internal/wire/gossip/memberlist.go
+++ b/internal/wire/gossip/memberlist.go
@@ -41,7 +41,7 @@
 	}
 	n.setTimings(c)
 	d := (*delegate)(n)
-	c.Delegate, c.Events, c.Alive, c.Conflict, c.Merge = d, d, d, d, d
+	c.Delegate, c.Events, c.Alive, c.Conflict, c.Merge, c.Ping = d, d, d, d, d, d
 	list, err := memberlist.Create(c)
 	if err != nil {
 		return nil, errors.Join(err, c.Transport.Shutdown())
--- a/internal/wire/gossip/moves_test.go
+++ b/internal/wire/gossip/moves_test.go
@@ -16,6 +16,20 @@
 // end.
 func startIn(
 	t *testing.T, simnet *network.Network, dir, cell string, i int, seeds ...string,
+) (*Node, func()) {
+	t.Helper()
+	node, kill := startToKill(t, simnet, dir, cell, i, seeds...)
+	stop := sync.OnceFunc(func() {
+		node.Leave()
+		kill()
+	})
+	t.Cleanup(stop)
+	return node, stop
+}
+
+// startToKill starts a relay as startIn does, and returns it with what ends it without a word.
+func startToKill(
+	t *testing.T, simnet *network.Network, dir, cell string, i int, seeds ...string,
 ) (*Node, func()) {
 	t.Helper()
 	c := testConfig(fmt.Sprintf("r%d", i), filepath.Join(dir, fmt.Sprintf("%s-%d", cell, i)))
@@ -28,13 +42,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go node.Run(ctx)
-	stop := sync.OnceFunc(func() {
-		node.Leave()
+	kill := sync.OnceFunc(func() {
 		cancel()
 		node.Wait()
 	})
-	t.Cleanup(stop)
-	return node, stop
+	t.Cleanup(kill)
+	return node, kill
 }
 
 // counts tells whether a relay counts another one as there.
@@ -76,3 +89,22 @@
 	)
 	await(t, 10*time.Second, "so do the others", func() bool { return r0.counts("r2") && r3.counts("r2") })
 }
+
+// A relay is killed, and at once started in another cell under its name and at its address: those of its old
+// cell miss it, and count it again once it is back. Guards against a relay that counts as there for good
+// because its successor in another cell answers for it.
+func TestRelayKilledAndStartedInAnotherCellIsMissed(t *testing.T) {
+	simnet, dir := network.New(network.Config{}), t.TempDir()
+	r0, _ := startIn(t, simnet, dir, "east-1", 0)
+	r3, _ := startIn(t, simnet, dir, "east-1", 3, address(0))
+	_, kill := startToKill(t, simnet, dir, "east-1", 2, address(0))
+	counted := func() bool { return r0.counts("r2") && r3.counts("r2") }
+	await(t, 10*time.Second, "all are there", func() bool { return counted() && r3.counts("r0") })
+	kill()
+	_, kill = startToKill(t, simnet, dir, "west-1", 2)
+	missed := func() bool { return !r0.counts("r2") && !r3.counts("r2") }
+	await(t, 10*time.Second, "the one that moved is missed", missed)
+	kill()
+	startIn(t, simnet, dir, "east-1", 2, address(0))
+	await(t, 10*time.Second, "it counts again", counted)
+}
--- a/internal/wire/gossip/peers.go
+++ b/internal/wire/gossip/peers.go
@@ -25,7 +25,9 @@
 	// nodes are the relays by name, copies as last heard of: memberlist writes to its own. One that has left
 	// is not kept.
 	nodes map[string]*memberlist.Node
-	alive map[string]bool // those of them that memberlist has as alive
+	alive map[string]bool // those of them that are alive in this cell
+	// moved are those that memberlist has as alive, and that have answered from another cell.
+	moved map[string]bool
 	// otherCellAt says when a relay of another cell has answered, by address.
 	otherCellAt map[string]time.Time
 	statuses    map[string][]byte // the newest envelope of a status, by name, as it came
@@ -38,6 +40,7 @@
 	return &peerTable{
 		nodes:       map[string]*memberlist.Node{},
 		alive:       map[string]bool{},
+		moved:       map[string]bool{},
 		otherCellAt: map[string]time.Time{},
 		statuses:    map[string][]byte{},
 		deliveries:  map[string]*probing.DedupWindow{},
@@ -52,6 +55,7 @@
 	if t.nodes[node.Name] != nil || len(t.nodes) < maxPeers {
 		t.nodes[node.Name] = &node
 	}
+	delete(t.moved, node.Name)
 	if health == membership.Left { // it is not missed
 		delete(t.nodes, node.Name)
 	}
@@ -62,6 +66,30 @@
 	}
 }
 
+// noteMoved notes that a relay answers from another cell, and tells whether it counted as there until now.
+func (t *peerTable) noteMoved(name string) bool {
+	t.Lock()
+	defer t.Unlock()
+	if !t.alive[name] {
+		return false
+	}
+	delete(t.alive, name)
+	t.moved[name] = true
+	return true
+}
+
+// noteBack notes that a relay answers from this cell, and tells whether it has answered from another before.
+func (t *peerTable) noteBack(name string) bool {
+	t.Lock()
+	defer t.Unlock()
+	if !t.moved[name] {
+		return false
+	}
+	delete(t.moved, name)
+	t.alive[name] = true
+	return true
+}
+
 // node is a relay as last heard of, nil if it is not known.
 func (t *peerTable) node(name string) *memberlist.Node {
 	t.Lock()
