Take relays into and out of the view by a majority of the voters' evidence

What callers saw: while some voters reached a relay and others did not, the view changed up to 1.8 times a second. Each change has shares wait for each other, and could cost a relay its lease.

Cause: unavailability was counted over the promises that came first, of a bare majority, and only to take members out; whoever reached a relay took it in again and nobody was asked about that.

Change: a member goes once a majority of all voters takes it for unavailable, a relay comes in once a majority does not; Prepare names those who would come in. Where neither has a majority yet the proposer waits for more promises. As this asks for more evidence, a member that a voter has never heard for 5 s counts as unavailable there: TestDeadMembersGoThoughARestartedVoterNeverHeardThem fails without that. An older program ignores the new field and names members only, as it did.

--- a/internal/fleet/membership/acceptor.go
+++ b/internal/fleet/membership/acceptor.go
@@ -98,7 +98,7 @@
 	n.send(from, Message{
 		Kind: Promise, Epoch: m.Epoch, Ballot: m.Ballot, To: m.From,
 		AcceptedBallot: n.record.AcceptedBallot, View: n.record.Accepted,
-		Unavailable: n.unavailableMembers(),
+		Unavailable: append(n.unavailableMembers(), n.unavailableOf(m.Joining)...),
 	})
 }
 
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -52,10 +52,11 @@
 	Renew Kind = iota + 1
 	// Renewed is the voter's yes, with SentAtMillis as it came.
 	Renewed
-	// Prepare asks whether the sender may propose by Ballot what follows Epoch.
+	// Prepare asks whether the sender may propose by Ballot what follows Epoch, and who of the members and of
+	// Joining is unavailable.
 	Prepare
-	// Promise is the voter's yes: AcceptedBallot and View are what it has accepted, Unavailable the members
-	// that it takes for gone.
+	// Promise is the voter's yes: AcceptedBallot and View are what it has accepted, Unavailable those of the
+	// members and of Joining that it takes for gone.
 	Promise
 	// Accept asks a voter to accept View by Ballot.
 	Accept
@@ -80,4 +81,5 @@
 	From           uint64   `cbor:"9,keyasint"` // the sender's incarnation
 	BootstrapSlot  int      `cbor:"10,keyasint"`
 	Plan           uint64   `cbor:"11,keyasint,omitempty"` // of a Renew: the plan that the asker's view has
+	Joining        []string `cbor:"12,keyasint,omitempty"` // of a Prepare: whom the sender would take in
 }
--- a/internal/fleet/membership/nextview.go
+++ b/internal/fleet/membership/nextview.go
@@ -21,11 +21,14 @@
 	ignoreLimits bool
 }
 
-// unavailableMembers are the members that have failed, as far as this relay knows, or whose status says
-// Leaving.
+// unavailableMembers are the members that have failed, as far as this relay knows, that it has never heard,
+// or whose status says Leaving.
 func (n *Node) unavailableMembers() (names []string) {
 	for _, m := range n.view.Entries {
-		if m.In && m.Name != n.cfg.Name && n.peers.byName[m.Name].isUnavailable() {
+		if !m.In || m.Name == n.cfg.Name {
+			continue
+		}
+		if n.peers.byName[m.Name].isUnavailable() || n.isUnheard(m.Name) {
 			names = append(names, m.Name)
 		}
 	}
@@ -35,6 +38,29 @@
 	return names
 }
 
+// isUnheard tells whether a member was never alive here, though this relay has been there for a while.
+func (n *Node) isUnheard(member string) bool {
+	since := n.startedAt
+	if p := n.peers.byName[member]; p != nil {
+		if p.Health != Unknown {
+			return false
+		}
+		since = p.HealthSince
+	}
+	return n.now >= since+unheardTimeout
+}
+
+// unavailableOf are those of some relays, of no view, that have failed, as far as this relay knows, or whose
+// status says Leaving.
+func (n *Node) unavailableOf(names []string) (unavailable []string) {
+	for _, name := range names {
+		if n.peers.byName[name].isUnavailable() && !n.view.Member(name).In {
+			unavailable = append(unavailable, name)
+		}
+	}
+	return unavailable
+}
+
 // nextViewRequest is what the next view is to be made of, if some members are unavailable; changed says
 // whether it differs from the view held.
 func (n *Node) nextViewRequest(unavailable func(name string) bool) (request viewRequest, changed bool) {
--- a/internal/fleet/membership/peers.go
+++ b/internal/fleet/membership/peers.go
@@ -9,6 +9,10 @@
 // newPeerStatusDelay is how soon a status follows once a new peer is alive.
 const newPeerStatusDelay = 100 * time.Millisecond
 
+// unheardTimeout is how long a member may be unheard before it counts as unavailable. Failure detection finds
+// a living one sooner, and never tells of one that had failed before this process started.
+const unheardTimeout = 5 * time.Second
+
 // Health is what the failure detection knows of a peer.
 type Health uint8
 
--- a/internal/fleet/membership/proposer.go
+++ b/internal/fleet/membership/proposer.go
@@ -21,7 +21,7 @@
 		return
 	}
 	own := n.unavailableMembers()
-	_, changed := n.nextViewRequest(func(name string) bool { return slices.Contains(own, name) })
+	request, changed := n.nextViewRequest(func(name string) bool { return slices.Contains(own, name) })
 	takeover := n.voting.takeoverDue(n.now)
 	n.voting.noteChangeWanted(changed || takeover, n.now)
 	if !changed && !takeover {
@@ -34,7 +34,9 @@
 		return
 	}
 	p := n.voting.start(n.cfg.Name, n.record.Promised, n.now)
-	n.sendToVoters(Message{Kind: Prepare, Epoch: n.view.Epoch, Ballot: p.ballot})
+	n.sendToVoters(Message{
+		Kind: Prepare, Epoch: n.view.Epoch, Ballot: p.ballot, Joining: n.view.joining(request.members),
+	})
 }
 
 // awaitsBootstrapVoters tells whether those who bootstrap the fleet should wait for more of them.
@@ -96,12 +98,16 @@
 }
 
 // proposeView asks the voters to accept a view: what may have been chosen already, or else what this
-// relay wants.
+// relay wants and a majority of the voters has evidence for. Until they have, more promises are awaited.
 func (n *Node) proposeView(p *proposal) {
 	if p.proposed = p.highestAccepted; p.proposed == nil {
-		request, changed := n.nextViewRequest(p.reportsUnavailable)
+		request, changed := n.nextViewRequest(func(name string) bool {
+			return p.reportsUnavailable(name, n.view)
+		})
 		if !changed {
-			n.voting.abandon(n.now, n.rng)
+			if len(p.promises) == len(n.view.Voters) {
+				n.voting.abandon(n.now, n.rng)
+			}
 			return
 		}
 		p.proposed = n.view.next(request)
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -92,6 +92,16 @@
 	return names
 }
 
+// joining are those of some relays that are no members.
+func (v *View) joining(names []string) (joining []string) {
+	for _, name := range names {
+		if !v.Member(name).In {
+			joining = append(joining, name)
+		}
+	}
+	return joining
+}
+
 // Serving is how many members take clients.
 func (v *View) Serving() (n int) {
 	for _, s := range v.Entries {
--- a/internal/fleet/membership/voting.go
+++ b/internal/fleet/membership/voting.go
@@ -100,14 +100,19 @@
 	}
 }
 
-// reportsUnavailable tells whether most of the voters that have promised take a member for unavailable:
-// one relay's broken link puts nobody out.
-func (p *proposal) reportsUnavailable(name string) bool {
-	count := 0
-	for _, unavailable := range p.promises {
-		if slices.Contains(unavailable, name) {
-			count++
+// reportsUnavailable tells whether a relay is to be out of the next view: a member once a majority of the
+// voters takes it for unavailable, another relay until a majority does not. Whoever proposes next needs a
+// majority too, so that no two voters take a relay in and out by turns; and one relay's broken link puts
+// nobody out.
+func (p *proposal) reportsUnavailable(name string, view *View) bool {
+	unavailable := 0
+	for _, names := range p.promises {
+		if slices.Contains(names, name) {
+			unavailable++
 		}
 	}
-	return 2*count > len(p.promises)
+	if view.Member(name).In {
+		return unavailable >= view.majority()
+	}
+	return len(p.promises)-unavailable < view.majority()
 }
--- a/internal/wire/gossip/envelope.go
+++ b/internal/wire/gossip/envelope.go
@@ -102,7 +102,7 @@
 
 // validMessage tells whether a message could have been sent by a membership.Node.
 func validMessage(m membership.Message) bool {
-	if math.IsNaN(m.SentAtMillis) || math.IsInf(m.SentAtMillis, 0) || len(m.Unavailable) > maxPeers {
+	if math.IsNaN(m.SentAtMillis) || math.IsInf(m.SentAtMillis, 0) || len(m.Unavailable) > maxPeers || len(m.Joining) > maxPeers {
 		return false
 	}
 	if m.View == nil {
