Take a relay that leaves by its own word for left, not for failed

What callers saw: nothing at once; the others tried to join each relay that had gone for good, for good, and so came late to those that were missing.

Cause: NotifyLeave went by memberlist.Node.State, which memberlist never sets.

Evidence: memberlist's deadNode sets the state of its own record and hands over the Node inside it. Every shutdown is logged as failed.

Change: the relay's own newest status tells, and Leave publishes it first. A relay that has left is kept by name, so that it is joined again once a status of a new process comes; before it was meant to be forgotten, and then nobody would have corrected memberlist's record of its death.

--- a/internal/wire/gossip/delegate.go
+++ b/internal/wire/gossip/delegate.go
@@ -67,14 +67,9 @@
 // NotifyUpdate is memberlist's.
 func (d *delegate) NotifyUpdate(m *memberlist.Node) { d.noteHealth(m, membership.Alive) }
 
-// NotifyLeave is memberlist's, for one that failed and for one that said so.
-func (d *delegate) NotifyLeave(m *memberlist.Node) {
-	if m.State == memberlist.StateLeft {
-		d.noteHealth(m, membership.Left)
-	} else {
-		d.noteHealth(m, membership.Failed)
-	}
-}
+// NotifyLeave is memberlist's, for one that failed and for one that said so. It does not tell which: the
+// relay's own status does.
+func (d *delegate) NotifyLeave(m *memberlist.Node) { d.noteHealth(m, d.peers.goneHealth(m.Name)) }
 
 // NotifyAlive is memberlist's: a name that nobody could have is no peer, and neither is a relay of another
 // cell.
--- a/internal/wire/gossip/join.go
+++ b/internal/wire/gossip/join.go
@@ -22,6 +22,7 @@
 // Leave says that this relay goes, and waits a moment for that to spread. The relay takes no budget share
 // from here on.
 func (n *Node) Leave() {
+	n.publishLeaving()
 	if list := n.mesh.list.Load(); list != nil {
 		if err := list.Leave(leaveTimeout); err != nil {
 			n.log.Info().Err(err).Msg("peers may not be notified of the graceful shutdown")
@@ -29,6 +30,18 @@
 	}
 }
 
+// publishLeaving has Run publish that this relay leaves, and waits for that. Where Run has not begun to take
+// part, or has ended, there is nobody to tell.
+func (n *Node) publishLeaving() {
+	published := make(chan struct{})
+	select {
+	case n.leaveRequests <- published:
+		<-published
+	case <-n.stopped:
+	case <-time.After(leaveTimeout):
+	}
+}
+
 // relayCount is how many relays there are, for how often a status is passed on.
 func (n *Node) relayCount() int {
 	if list := n.mesh.list.Load(); list != nil {
--- a/internal/wire/gossip/moves_test.go
+++ b/internal/wire/gossip/moves_test.go
@@ -108,3 +108,36 @@
 	startIn(t, simnet, dir, "east-1", 2, address(0))
 	await(t, 10*time.Second, "it counts again", counted)
 }
+
+// A relay that leaves by its own word counts as left, is not joined any more, and counts as there again once
+// it is back. Guards against one that counts as failed, which the others try to join for good.
+func TestRelayThatLeavesIsNotJoined(t *testing.T) {
+	simnet, dir := network.New(network.Config{}), t.TempDir()
+	r0, _ := startIn(t, simnet, dir, "east-1", 0)
+	r3, _ := startIn(t, simnet, dir, "east-1", 3, address(0))
+	_, stop := startIn(t, simnet, dir, "east-1", 2, address(0))
+	others := []*Node{r0, r3}
+	counted := func() bool { return r0.counts("r2") && r3.counts("r2") }
+	await(t, 10*time.Second, "all are there", func() bool { return counted() && r3.counts("r0") })
+	stop()
+	for _, n := range others {
+		await(t, 5*time.Second, "it counts as left", func() bool { return n.healthOf("r2") == membership.Left })
+		if missing := n.peers.missingAddresses(n.peers.settledAddresses()); len(missing) > 0 {
+			t.Errorf("%s would join %v", n.cfg.Name, missing)
+		}
+	}
+	startIn(t, simnet, dir, "east-1", 2, address(0))
+	await(t, 10*time.Second, "it is back", counted)
+}
+
+// healthOf is what the membership.Node takes a peer for.
+func (n *Node) healthOf(name string) membership.Health {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, peer := range n.membership.Peers() {
+		if peer.Name == name {
+			return peer.Health
+		}
+	}
+	return membership.Unknown
+}
--- a/internal/wire/gossip/node.go
+++ b/internal/wire/gossip/node.go
@@ -36,6 +36,8 @@
 	batches     chan outgoingBatch // readings on their way out
 	planUpdates chan planUpdate    // plans that a reload has brought
 	stopped     chan struct{}      // closed at the end of Run
+	// leaveRequests are for Run: it publishes that this relay leaves, then closes what it was handed.
+	leaveRequests chan chan struct{}
 
 	// mu is held for each step of the membership.Node, and by LockStatus while decisions are made.
 	mu         sync.Mutex
@@ -47,6 +49,7 @@
 
 	meter     membership.Meter      // only Run uses it
 	lastLocal membership.LocalState // as the membership.Node heard it last
+	leaving   bool                  // Leave has been called; only Run uses it
 }
 
 // mesh is this relay's part of memberlist, and what goes out by it.
@@ -67,15 +70,16 @@
 		c.Transport = socketTransport
 	}
 	n := &Node{
-		cfg:         c,
-		log:         c.Log,
-		peers:       newPeerTable(),
-		dropped:     newDropCounters(c.Log),
-		inbox:       make(chan membership.Event, inboxSize),
-		batches:     make(chan outgoingBatch, batchQueueSize),
-		planUpdates: make(chan planUpdate, 1),
-		stopped:     make(chan struct{}),
-		cell:        c.wireCell(),
+		cfg:           c,
+		log:           c.Log,
+		peers:         newPeerTable(),
+		dropped:       newDropCounters(c.Log),
+		inbox:         make(chan membership.Event, inboxSize),
+		batches:       make(chan outgoingBatch, batchQueueSize),
+		planUpdates:   make(chan planUpdate, 1),
+		stopped:       make(chan struct{}),
+		leaveRequests: make(chan chan struct{}),
+		cell:          c.wireCell(),
 	}
 	n.key = keyOfCell(n.cell)
 	n.mesh.traffic = &traffic{}
@@ -161,6 +165,10 @@
 		case batch := <-n.batches:
 			n.sendBatch(batch)
 			continue
+		case published := <-n.leaveRequests:
+			n.leaving = true
+			n.handle(n.localState(n.now()))
+			close(published)
 		case update := <-n.planUpdates:
 			n.applyPlan(update)
 		case event := <-n.cells.Load().events():
@@ -209,6 +217,9 @@
 	activity := n.cfg.LocalActivity()
 	local := n.meter.LocalState(now, activity.Lifecycle, activity.Arrivals, activity.OpenRequests)
 	local.Zone, local.EndpointListGeneration = n.cfg.Zone, activity.ListVersion
+	if n.leaving {
+		local.Lifecycle = membership.Leaving
+	}
 	n.lastLocal = local
 	return local
 }
--- a/internal/wire/gossip/peers.go
+++ b/internal/wire/gossip/peers.go
@@ -22,12 +22,13 @@
 // only, as memberlist's calls must not wait for the membership.Node.
 type peerTable struct {
 	sync.Mutex
-	// nodes are the relays by name, copies as last heard of: memberlist writes to its own. One that has left
-	// is not kept.
+	// nodes are the relays by name, copies as last heard of: memberlist writes to its own.
 	nodes map[string]*memberlist.Node
 	alive map[string]bool // those of them that are alive in this cell
 	// moved are those that memberlist has as alive, and that have answered from another cell.
 	moved map[string]bool
+	// leaving are those whose newest status says that they leave. They are not missed, and not joined.
+	leaving map[string]bool
 	// otherCellAt says when a relay of another cell has answered, by address.
 	otherCellAt map[string]time.Time
 	statuses    map[string][]byte // the newest envelope of a status, by name, as it came
@@ -41,6 +42,7 @@
 		nodes:       map[string]*memberlist.Node{},
 		alive:       map[string]bool{},
 		moved:       map[string]bool{},
+		leaving:     map[string]bool{},
 		otherCellAt: map[string]time.Time{},
 		statuses:    map[string][]byte{},
 		deliveries:  map[string]*probing.DedupWindow{},
@@ -56,14 +58,41 @@
 		t.nodes[node.Name] = &node
 	}
 	delete(t.moved, node.Name)
-	if health == membership.Left { // it is not missed
-		delete(t.nodes, node.Name)
-	}
-	if t.nodes[node.Name] != nil && health == membership.Alive {
+	switch known := t.nodes[node.Name] != nil; {
+	case known && health == membership.Alive:
+		if !t.alive[node.Name] { // a new process: what the one before said does not count
+			delete(t.leaving, node.Name)
+		}
 		t.alive[node.Name] = true
-	} else {
+	case known && health == membership.Left:
+		t.leaving[node.Name] = true
 		delete(t.alive, node.Name)
+	default:
+		delete(t.alive, node.Name)
+	}
+}
+
+// noteLifecycle notes what a relay's newest status says it does, and tells whether that makes one that counts
+// as failed one that has left.
+func (t *peerTable) noteLifecycle(name string, lifecycle membership.Lifecycle) (left bool) {
+	t.Lock()
+	defer t.Unlock()
+	if lifecycle != membership.Leaving {
+		delete(t.leaving, name)
+		return false
+	}
+	t.leaving[name] = true
+	return t.nodes[name] != nil && !t.alive[name]
+}
+
+// goneHealth is what a relay that memberlist has as gone counts as.
+func (t *peerTable) goneHealth(name string) membership.Health {
+	t.Lock()
+	defer t.Unlock()
+	if t.leaving[name] {
+		return membership.Left
 	}
+	return membership.Failed
 }
 
 // noteMoved notes that a relay answers from another cell, and tells whether it counted as there until now.
@@ -190,12 +219,13 @@
 	return settled
 }
 
-// missingAddresses are those of relays that were there and are not, but for the settled ones.
+// missingAddresses are those of relays that were there and are not, but for those that leave and the settled
+// ones.
 func (t *peerTable) missingAddresses(settled map[string]bool) (missing []string) {
 	t.Lock()
 	defer t.Unlock()
 	for name, node := range t.nodes {
-		if !t.alive[name] && !settled[node.Address()] {
+		if !t.alive[name] && !t.leaving[name] && !settled[node.Address()] {
 			missing = append(missing, node.Address())
 		}
 	}
--- a/internal/wire/gossip/receive.go
+++ b/internal/wire/gossip/receive.go
@@ -48,6 +48,9 @@
 		return // gossip brings each several times
 	}
 	n.enqueueEvent(membership.StatusReceived{Name: e.From, Status: status})
+	if n.peers.noteLifecycle(e.From, status.Lifecycle) {
+		n.enqueueEvent(membership.PeerHealth{Name: e.From, Health: membership.Left})
+	}
 	if forward {
 		n.mesh.broadcasts.add(e.From, text)
 	}
