End a server's probe goroutine once it is not probed any more

What callers saw: nothing at once; a process kept a goroutine, a stack and a queue for every server that it had ever probed, over months of deploys some hundred thousand.

Cause: probeLoop closed the idle connection after 10 s and went on waiting for probes that never come.

Change: after the same 10 s the loop removes its queue, unless a probe has come into it, and ends; the next probe starts another.

--- a/internal/wire/platform/probe.go
+++ b/internal/wire/platform/probe.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -13,9 +14,9 @@
 const (
 	// probeTimeout is how long a probe's answer is waited for. It tells a silent machine from a slow one.
 	probeTimeout = 200 * time.Millisecond
-	// idleProbeConnLifetime is how long an unused connection for probes stays open. Servers that a deploy has
-	// replaced are probed no more, and each would hold a descriptor for good.
-	idleProbeConnLifetime = 10 * time.Second
+	// defaultIdleProbeLifetime is how long an unused connection for probes stays open, and its goroutine
+	// lives. Servers that a deploy has replaced are probed no more, and each would hold both for good.
+	defaultIdleProbeLifetime = 10 * time.Second
 	// probeQueueLength: the decision module never has more probes of one server under way.
 	probeQueueLength = 4
 )
@@ -27,7 +28,8 @@
 }
 
 // Probe asks a server for its load, on a connection that is reused from one probe to the next. It does not
-// block; done is called once. Each server that was ever probed keeps one goroutine.
+// block; done is called once. A server that is probed has one goroutine, until idleProbeLifetime after the
+// last probe.
 func (s *ServerDialer) Probe(server relay.Server, done func(decide.Status, decide.LoadReport)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +40,7 @@
 	if queue == nil {
 		queue = make(chan probeRequest, probeQueueLength)
 		s.probeQueues[server.Number] = queue
-		go s.probeLoop(queue)
+		go s.probeLoop(server.Number, queue)
 	}
 	select {
 	case queue <- probeRequest{server.Address, done}:
@@ -47,22 +49,37 @@
 	}
 }
 
-// probeLoop owns the connection for probes of one server.
-func (s *ServerDialer) probeLoop(queue <-chan probeRequest) {
+// probeLoop owns the connection for probes of one server. It ends once the server has not been probed for a
+// while.
+func (s *ServerDialer) probeLoop(server decide.ServerID, queue <-chan probeRequest) {
 	var conn probeConn
 	var idle <-chan time.Time
 	for {
 		select {
 		case probe := <-queue:
 			status, report := s.probe(&conn, probe.address)
-			idle = s.Clock.After(idleProbeConnLifetime)
+			idle = s.Clock.After(cmp.Or(s.idleProbeLifetime, defaultIdleProbeLifetime))
 			probe.done(status, report)
 		case <-idle:
 			s.closeProbeConn(&conn)
+			if s.removeProbeQueue(server, queue) {
+				return
+			}
 		}
 	}
 }
 
+// removeProbeQueue removes a server's queue, unless a probe has come into it meanwhile.
+func (s *ServerDialer) removeProbeQueue(server decide.ServerID, queue <-chan probeRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(queue) > 0 {
+		return false
+	}
+	delete(s.probeQueues, server)
+	return true
+}
+
 // probe makes one probe, once more if the connection turns out to have been closed while it was idle: that
 // says nothing of the server.
 func (s *ServerDialer) probe(conn *probeConn, address string) (decide.Status, decide.LoadReport) {
--- a/internal/wire/platform/server_dialer.go
+++ b/internal/wire/platform/server_dialer.go
@@ -23,6 +23,8 @@
 	mu             sync.Mutex
 	probeQueues    map[decide.ServerID]chan probeRequest // guarded by mu
 	idleProbeConns atomic.Int64
+	// idleProbeLifetime is in place of defaultIdleProbeLifetime where tests set it.
+	idleProbeLifetime time.Duration
 }
 
 // StartAttempt makes one attempt in a goroutine of its own, which ends with it.
