Bound what is kept of placements at a server that is never read

What callers saw: nothing at once; a process at a site without load reports, or with servers that answer no probe, kept the instant of each of its placements and closes for good.

Cause: only a reading dropped them (dropReported), and such a server has none.

Evidence: TestUnreadServersTakeBoundedSpace kept 65,536 placements and 130,772 closes before.

Change: once either list has 16,384 entries, the oldest of both go in pairs, as only the difference counts. Other relays' placements have had a bound of their own.

--- a/decide/load.go
+++ b/decide/load.go
@@ -18,6 +18,8 @@
 	loadLearningWeight = 1.0 / 8
 	// peerPlacementsKept bounds what is kept of the other relays' placements at one server.
 	peerPlacementsKept = 1024
+	// maxUnreported bounds what is kept of own placements, and of closes, at one server that is not read.
+	maxUnreported = 1 << 14
 	// slowProbeFactor is how many times the usual a probe takes at a server where work is piled up.
 	slowProbeFactor = 4
 	// guessedLoadLimit is the most that a server without a load report is guessed at, 0 to 1: one that has
@@ -44,10 +46,25 @@
 
 func (r *reading) recordPlacement(at time.Duration) {
 	r.unreportedPlacements = append(r.unreportedPlacements, at)
+	r.boundUnreported()
 }
 
 func (r *reading) recordClose(at time.Duration) {
 	r.unreportedCloses = append(r.unreportedCloses, at)
+	r.boundUnreported()
+}
+
+// boundUnreported forgets old placements together with as many old closes, once either list is full: only how
+// many more there are of the one counts where no reading comes. What is over then is forgotten, oldest first.
+func (r *reading) boundUnreported() {
+	placements, closes := len(r.unreportedPlacements), len(r.unreportedCloses)
+	if max(placements, closes) <= maxUnreported {
+		return
+	}
+	pairs := min(placements, closes)
+	placementsKept, closesKept := min(placements-pairs, maxUnreported), min(closes-pairs, maxUnreported)
+	r.unreportedPlacements = slices.Delete(r.unreportedPlacements, 0, placements-placementsKept)
+	r.unreportedCloses = slices.Delete(r.unreportedCloses, 0, closes-closesKept)
 }
 
 // recordPeerPlacements counts what another relay placed there then, or, if negative, what ended.
--- a/decide/load_test.go
+++ b/decide/load_test.go
@@ -143,3 +143,29 @@
 		t.Error("what all probes take is slow")
 	}
 }
+
+// What a server that is never read has had placed and closed takes bounded space, and what is open there is
+// still counted. Guards against a process that keeps each of its placements for good.
+func TestUnreadServersTakeBoundedSpace(t *testing.T) {
+	const open = 300
+	var r reading
+	for i := range 4 * maxUnreported {
+		r.recordPlacement(time.Duration(i))
+		if i >= open {
+			r.recordClose(time.Duration(i))
+		}
+	}
+	placements, closes := len(r.unreportedPlacements), len(r.unreportedCloses)
+	if placements > maxUnreported || closes > maxUnreported {
+		t.Errorf("%d placements and %d closes are kept", placements, closes)
+	}
+	if placements-closes != open {
+		t.Errorf("%d are counted as open, not %d", placements-closes, open)
+	}
+	for i := range 4 * maxUnreported { // whatever is never closed, or was not placed here
+		r.recordClose(time.Duration(i))
+	}
+	if len(r.unreportedCloses) > maxUnreported {
+		t.Errorf("%d closes are kept", len(r.unreportedCloses))
+	}
+}
