Begin a new ZooKeeper session where every replica is behind the changes seen

What callers saw: once a service was restored from a copy, or its replicas lost changes, the relay's list of servers was never read again and no stream could be owned again, until SIGHUP with other addresses or a restart.

Cause: ZooKeeper refuses a client that has seen later changes than the replica, before it looks at the session, so that the client never hears that the session is over; and the Client kept the last change it had seen over the end of a session.

Evidence: the fake refuses like ZooKeeper does now (SetBehind; a fake that accepts hid this).

Change: a client that every address has been asked for, for a session's time, and that was refused by one at least, begins anew. Sooner it would go back to an older list while another replica has the newer one (TestClientKeepsToTheChangesSeen). Both clients share the rule.

--- a/internal/testing/fake/zkconn.go
+++ b/internal/testing/fake/zkconn.go
@@ -45,7 +45,8 @@
 }
 
 // connect begins a session or resumes one, and answers the handshake; the answer to a session that is not
-// known has a timeout of 0. It returns false if the connection is to end.
+// known has a timeout of 0. It returns false if the connection is to end, as that of a client that has seen
+// later changes than the service.
 func (z *ZooKeeper) connect(c *zkConn, hello []byte) bool {
 	id := int64(binary.BigEndian.Uint64(hello[16:]))
 	timeout := int(binary.BigEndian.Uint32(hello[12:]))
@@ -54,7 +55,8 @@
 	for z.faults.frozen {
 		z.thawed.Wait()
 	}
-	if z.faults.unreachable {
+	seen := int64(binary.BigEndian.Uint64(hello[4:]))
+	if z.faults.unreachable || seen > z.zxid-z.faults.behind {
 		return false
 	}
 	s := z.sessions[id]
--- a/internal/testing/fake/zkfaults.go
+++ b/internal/testing/fake/zkfaults.go
@@ -8,6 +8,7 @@
 	delay       time.Duration // before each answer
 	holdAnswers int           // how many requests must have come before the first of them is answered
 	dropAnswers int           // how many transactions are yet to be done without an answer
+	behind      int64         // how many of the newest changes it has not heard of
 }
 
 // SetUnreachable makes the service unreachable, or reachable again. Sessions go on ageing.
@@ -49,3 +50,11 @@
 	defer z.mu.Unlock()
 	z.faults.dropAnswers = n
 }
+
+// SetBehind makes the service a replica that has not heard of the newest changes: it refuses clients that have
+// seen any of them, as ZooKeeper does. It answers by all that it holds nevertheless.
+func (z *ZooKeeper) SetBehind(changes int64) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.faults.behind = changes
+}
--- a/internal/wire/zookeeper/client.go
+++ b/internal/wire/zookeeper/client.go
@@ -46,6 +46,7 @@
 	closeConn context.CancelFunc // ends the connection that is open; guarded by mu
 
 	state       sessionState
+	refusals    refusals
 	nextAddress int
 	nodes       map[string]relay.Endpoint // by name
 }
@@ -101,6 +102,20 @@
 	return ctx
 }
 
+// noteEnd notes why a connection, or an attempt at one, has ended. Where the session has expired, or is
+// refused, the next one begins a new session. After errExpired it is to have heard of all changes that the
+// client has seen, so that the list goes back to no older one.
+func (c *Client) noteEnd(err error, now time.Duration) {
+	switch {
+	case errors.Is(err, errExpired):
+		c.state.sessionID, c.state.password = 0, nil
+		c.refusals = refusals{}
+	case c.refusals.exhaustedBy(err, now, len(c.Addresses), c.SessionTimeout):
+		c.state = sessionState{}
+		c.refusals = refusals{}
+	}
+}
+
 // Watch asks for the endpoint list and for changes from now on.
 func (c *Client) Watch() {
 	select {
@@ -133,9 +148,7 @@
 		case <-c.watchWanted:
 		default:
 		}
-		if errors.Is(err, errExpired) { // the next watch begins a new session
-			c.state.sessionID, c.state.password = 0, nil
-		}
+		c.noteEnd(err, c.Requests.Clock.Now())
 		c.Log.Info().Err(err).Msg("endpoint watch ended; polling with backoff")
 		c.Requests.UpdateEndpoints(decide.WatchFailed, nil)
 	}
--- /dev/null
+++ b/internal/wire/zookeeper/client_test.go
@@ -0,0 +1,90 @@
+package zookeeper
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"capersail/internal/relay"
+	"capersail/internal/testing/fake"
+)
+
+// startClient follows a service's path, and asks for a watch again whenever there is none.
+func startClient(t *testing.T, zk *fake.ZooKeeper) *relay.RequestTable {
+	t.Helper()
+	requests := relay.NewRequestTable(&relay.Deployment{}, relay.NewClock(), nil)
+	ensemble := Ensemble{Addresses: []string{zk.Address}, Path: "/a", SessionTimeout: time.Second}
+	client := NewClient(ensemble, requests, zerolog.Nop())
+	go client.Run(t.Context())
+	go func() {
+		for t.Context().Err() == nil {
+			client.Watch()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	return requests
+}
+
+// awaitReady waits until a server is ready by the endpoint list.
+func awaitReady(t *testing.T, requests *relay.RequestTable, id string) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !requests.ServerReady(id); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s is not ready within 10 s", id)
+		}
+	}
+}
+
+// A client whose session has expired begins another at a service that has lost the changes it has seen. Guards
+// against an endpoint list that is never read again, as every replica refuses the client.
+func TestClientBeginsAnewWhereEveryReplicaIsBehind(t *testing.T) {
+	zk, err := fake.NewZooKeeper("/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(zk.Close)
+	const node = `{"address":"127.0.0.1:1","state":"ready"}`
+	zk.SetNode("n1", node)
+	requests := startClient(t, zk)
+	awaitReady(t, requests, "n1")
+	zk.SetBehind(1)
+	zk.ExpireSessions()
+	zk.SetNode("n2", node)
+	zk.SetBehind(2) // also of what has come since
+	awaitReady(t, requests, "n2")
+}
+
+// A client asks for all changes that it has seen until every address has been asked for a session's time, and
+// one has refused. Guards against an endpoint list that goes back to an older one.
+func TestClientKeepsToTheChangesSeen(t *testing.T) {
+	refused, unreachable := &refusedError{errors.New("EOF")}, errors.New("dial: connection refused")
+	const timeout = time.Second
+	for name, c := range map[string]struct {
+		ends   []error // one each half of timeout
+		begins bool    // a session without the changes seen is begun
+	}{
+		"expired":                 {[]error{errExpired}, false},
+		"nobody is there":         {[]error{unreachable, unreachable, unreachable, unreachable}, false},
+		"refused too short":       {[]error{refused, refused}, false},
+		"refused":                 {[]error{refused, refused, refused}, true},
+		"refused by one of two":   {[]error{unreachable, refused, unreachable}, true},
+		"expired and refused":     {[]error{errExpired, refused, refused, refused}, true},
+		"refused, then expired":   {[]error{refused, refused, errExpired, refused}, false},
+		"refused, then connected": {[]error{refused, refused, nil, refused}, false},
+	} {
+		client := &Client{Ensemble: Ensemble{Addresses: []string{"a", "b"}, SessionTimeout: timeout}}
+		client.state = sessionState{sessionID: 7, password: []byte("x"), lastZxid: 5}
+		for i, end := range c.ends {
+			if end == nil {
+				client.refusals = refusals{}
+				continue
+			}
+			client.noteEnd(end, time.Duration(i)*timeout/2)
+		}
+		if begins := client.state.lastZxid == 0; begins != c.begins {
+			t.Errorf("%s: begins anew %v", name, begins)
+		}
+	}
+}
--- a/internal/wire/zookeeper/conn.go
+++ b/internal/wire/zookeeper/conn.go
@@ -78,7 +78,7 @@
 }
 
 // handshake begins or takes up a session on a new connection, and returns it as it was granted. Its errors
-// are errExpired, if the service knows the session no more, and the connection's.
+// are errExpired, if the service knows the session no more, a refusedError, and the connection's.
 func (n *conn) handshake(state sessionState) (sessionState, error) {
 	if state.password == nil {
 		state.password = make([]byte, passwordBytes)
@@ -95,8 +95,11 @@
 		return state, fmt.Errorf("connect request: %w", err)
 	}
 	p, err := n.readFrame(n.clock.Now() + timeout)
-	if err != nil {
+	switch {
+	case splice.TimedOut(err):
 		return state, fmt.Errorf("connect response: %w", err)
+	case err != nil:
+		return state, &refusedError{err}
 	}
 	d := &decoder{rest: p}
 	d.i32() // the version
--- a/internal/wire/zookeeper/session.go
+++ b/internal/wire/zookeeper/session.go
@@ -51,6 +51,7 @@
 
 	writerWake chan struct{} // holds a token while there may be something to write
 	state      sessionState  // of Run alone
+	refusals   refusals      // the same
 
 	mu          sync.Mutex // guards what follows
 	addresses   []string
@@ -145,13 +146,15 @@
 		startedAt := s.Clock.Now()
 		err := s.runConnection(ctx)
 		s.failOutstanding()
-		if errors.Is(err, errExpired) {
+		s.mu.Lock()
+		closing, addresses := s.closing, len(s.addresses)
+		s.mu.Unlock()
+		refused := s.refusals.exhaustedBy(err, s.Clock.Now(), addresses, s.Timeout)
+		if refused || errors.Is(err, errExpired) {
 			s.state = sessionState{}
+			s.refusals = refusals{}
 			s.Events.Expired()
 		}
-		s.mu.Lock()
-		closing := s.closing
-		s.mu.Unlock()
 		if ctx.Err() != nil || closing {
 			return
 		}
--- a/internal/wire/zookeeper/session_conn.go
+++ b/internal/wire/zookeeper/session_conn.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	s.state = granted
+	s.refusals = refusals{}
 	s.mu.Lock()
 	s.connected, s.lastXid = true, 0
 	s.mu.Unlock()
--- a/internal/wire/zookeeper/session_test.go
+++ b/internal/wire/zookeeper/session_test.go
@@ -181,3 +181,16 @@
 	f.Add(int32(opGetData), make([]byte, 80))
 	f.Fuzz(func(_ *testing.T, op int32, p []byte) { decodeAnswer(op, OK, &decoder{rest: p}) })
 }
+
+// A session that every address refuses for its whole time is over, and another begins. Guards against ownership
+// that cannot be had again once the service has lost changes that the session has seen.
+func TestSessionBeginsAnewWhereEveryReplicaIsBehind(t *testing.T) {
+	zk, s, w := startSession(t)
+	if a := await(func(f func(Answer)) { s.Create("/a/x", nil, false, f) }); a.Code != OK {
+		t.Fatalf("create: %+v", a)
+	}
+	zk.SetBehind(1)
+	zk.ResetConnections()
+	w.wait(t, "expired", 1)
+	w.wait(t, "connected for 1000 ms", 2)
+}
--- a/internal/wire/zookeeper/watch.go
+++ b/internal/wire/zookeeper/watch.go
@@ -56,6 +56,7 @@
 		return nil, err
 	}
 	c.state = granted
+	c.refusals = refusals{}
 	return &watchConn{
 		conn:        n,
 		timeout:     granted.timeout,
