Let a second Close of a ZooKeeper session wait no longer than the first

What callers saw: a relay whose shutdown closes its session twice over a service that does not answer waited for it twice, up to half of the session's time-out each, in the time that it has until SIGKILL.

Cause: each Close sent a request of its own and waited for that.

Evidence: TestSecondCloseDoesNotWait, a frozen service: 10 s for closes after the first had given up at 50 ms; before with a session of 1 s nothing was seen, as silence ends the connection after 0.5 s.

Change: the first Close does it, others wait for it to return.

--- a/internal/wire/zookeeper/session.go
+++ b/internal/wire/zookeeper/session.go
@@ -49,6 +49,7 @@
 	Log     zerolog.Logger
 	Events  Events
 
+	closeOnce  sync.Once
 	writerWake chan struct{} // holds a token while there may be something to write
 	state      sessionState  // of Run alone
 	refusals   refusals      // the same
@@ -127,8 +128,13 @@
 }
 
 // Close ends the session at the service, and with it its ephemeral nodes, and waits for that no longer than a
-// timeout. Without it they stay until the session's time-out. It is called once.
+// timeout. Without it they stay until the session's time-out. Whoever calls it beside or after the first waits
+// no longer than that.
 func (s *Session) Close(timeout time.Duration) {
+	s.closeOnce.Do(func() { s.close(timeout) })
+}
+
+func (s *Session) close(timeout time.Duration) {
 	done := make(chan struct{})
 	s.enqueue(opClose, nil, func(Answer) { close(done) })
 	s.mu.Lock()
--- a/internal/wire/zookeeper/session_test.go
+++ b/internal/wire/zookeeper/session_test.go
@@ -57,6 +57,12 @@
 }
 
 func startSession(t *testing.T) (*fake.ZooKeeper, *Session, *eventLog) {
+	t.Helper()
+	return startSessionOf(t, time.Second)
+}
+
+// startSessionOf starts a session of a time-out.
+func startSessionOf(t *testing.T, timeout time.Duration) (*fake.ZooKeeper, *Session, *eventLog) {
 	t.Helper()
 	zk, err := fake.NewZooKeeper("/a")
 	if err != nil {
@@ -64,9 +70,9 @@
 	}
 	t.Cleanup(zk.Close)
 	w := &eventLog{}
-	s := NewSession([]string{zk.Address}, time.Second, relay.NewClock(), w, zerolog.Nop())
+	s := NewSession([]string{zk.Address}, timeout, relay.NewClock(), w, zerolog.Nop())
 	go s.Run(t.Context())
-	w.wait(t, "connected for 1000 ms", 1)
+	w.wait(t, fmt.Sprintf("connected for %d ms", timeout.Milliseconds()), 1)
 	return zk, s, w
 }
 
@@ -194,3 +200,22 @@
 	w.wait(t, "expired", 1)
 	w.wait(t, "connected for 1000 ms", 2)
 }
+
+// A second Close returns at once where the first has waited in vain, and with it where they come together.
+// Guards against a shutdown that waits out its time twice for a service that does not answer.
+func TestSecondCloseDoesNotWait(t *testing.T) {
+	const timeout = 10 * time.Second
+	zk, s, _ := startSessionOf(t, 4*timeout)
+	zk.SetFrozen(true)
+	t.Cleanup(func() { zk.SetFrozen(false) })
+	began := time.Now()
+	s.Close(50 * time.Millisecond)
+	var closes sync.WaitGroup
+	for range 3 {
+		closes.Go(func() { s.Close(timeout) })
+	}
+	closes.Wait()
+	if took := time.Since(began); took > timeout/2 {
+		t.Errorf("the closes took %v", took)
+	}
+}
