--- a/internal/testing/fake/discovery.go
+++ b/internal/testing/fake/discovery.go
@@ -18,7 +18,25 @@
 	mu         sync.Mutex
 	generation int
 	entries    map[string]string // by id: the endpoint's JSON
-	watches    []chan string     // one an open watch, for its events
+	watches    []*discoveryWatch // that are open
+}
+
+// watchQueueLength bounds the events that wait for a watch to be written; beyond it the watch is ended.
+const watchQueueLength = 64
+
+// discoveryWatch is an open watch.
+type discoveryWatch struct {
+	conn   net.Conn
+	events chan string
+}
+
+// notify queues an event. A watch that is not read is ended, as it would miss the event.
+func (w *discoveryWatch) notify(event string) {
+	select {
+	case w.events <- event:
+	default:
+		w.conn.Close()
+	}
 }
 
 // NewDiscovery starts discovery, which runs for as long as the process does. It fails if the address cannot
@@ -63,7 +81,7 @@
 	}
 	d.entries[id] = strings.TrimSuffix(entry, "}") + d.ExtraFields + "}"
 	for _, w := range d.watches {
-		w <- d.message(false, d.entries[id])
+		w.notify(d.message(false, d.entries[id]))
 	}
 }
 
@@ -76,6 +94,11 @@
 func (d *Discovery) Snapshot() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.snapshot()
+}
+
+// snapshot is Snapshot. The caller holds the lock.
+func (d *Discovery) snapshot() string {
 	var all []string
 	for _, e := range d.entries {
 		all = append(all, e)
@@ -83,10 +106,19 @@
 	return d.message(true, strings.Join(all, ","))
 }
 
-func (d *Discovery) removeWatch(w chan string) {
+// addWatch opens a watch and returns the snapshot that it goes on from: every later change is an event of it.
+func (d *Discovery) addWatch(conn net.Conn) (w *discoveryWatch, snapshot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w = &discoveryWatch{conn, make(chan string, watchQueueLength)}
+	d.watches = append(d.watches, w)
+	return w, d.snapshot()
+}
+
+func (d *Discovery) removeWatch(w *discoveryWatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watches = slices.DeleteFunc(d.watches, func(c chan string) bool { return c == w })
+	d.watches = slices.DeleteFunc(d.watches, func(o *discoveryWatch) bool { return o == w })
 }
 
 func (d *Discovery) serve(c net.Conn) {
@@ -96,31 +128,28 @@
 	for line := first; err == nil && strings.TrimSpace(line) != ""; {
 		line, err = in.ReadString('\n')
 	}
-	snapshot := d.Snapshot()
 	if !strings.Contains(first, "watch=1") {
+		snapshot := d.Snapshot()
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(snapshot), snapshot)
 		return
 	}
-	changes := make(chan string, 64)
-	d.mu.Lock()
-	d.watches = append(d.watches, changes)
-	d.mu.Unlock()
+	w, snapshot := d.addWatch(c)
+	defer d.removeWatch(w)
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(snapshot), snapshot)
-	d.stream(c, changes)
+	w.stream()
 }
 
 // stream sends a watch its events, and an empty line while nothing changes, until its connection fails.
-func (d *Discovery) stream(c net.Conn, changes chan string) {
-	defer d.removeWatch(changes)
+func (w *discoveryWatch) stream() {
 	idle := time.NewTicker(2 * time.Second)
 	defer idle.Stop()
 	for {
 		text := "\n"
 		select {
-		case text = <-changes:
+		case text = <-w.events:
 		case <-idle.C:
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+		if _, err := fmt.Fprintf(w.conn, "%x\r\n%s\r\n", len(text), text); err != nil {
 			return
 		}
 	}
