--- a/cmd/capersail/main_test.go
+++ b/cmd/capersail/main_test.go
@@ -105,6 +105,14 @@
 
 // startCommand starts a program that is set up; as startRelay.
 func startCommand(t *testing.T, cmd *exec.Cmd) (*exec.Cmd, string, <-chan string) {
+	t.Helper()
+	return startDisturbed(t, cmd, func(*os.Process) {})
+}
+
+// startDisturbed is startCommand with something that is done to the process as soon as there is one.
+func startDisturbed(
+	t *testing.T, cmd *exec.Cmd, disturb func(*os.Process),
+) (*exec.Cmd, string, <-chan string) {
 	t.Helper()
 	logs, err := cmd.StderrPipe()
 	if err != nil {
@@ -113,6 +121,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	disturb(cmd.Process)
 	messages, address := make(chan string, 1024), make(chan string, 1)
 	go func() {
 		defer close(messages)
--- a/cmd/capersail/moments_test.go
+++ b/cmd/capersail/moments_test.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -148,3 +153,126 @@
 		}
 	}
 }
+
+// deployedCommand is the program as deploy/balancer.toml has the platform start it.
+func deployedCommand(t *testing.T, config string) *exec.Cmd {
+	t.Helper()
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, line, _ := strings.Cut(string(deploy), "\nrun = \"")
+	line, _, found := strings.Cut(line, "\"\n")
+	if !found || !strings.Contains(line, "bin/capersail") {
+		t.Fatalf("deploy/balancer.toml runs %q", line)
+	}
+	line = strings.Replace(line, "bin/capersail", os.Args[0], 1)
+	cmd := exec.CommandContext(t.Context(), "sh", "-c", line)
+	cmd.Env = append(os.Environ(), "CAPERSAIL_RUN=1", "LB_CONFIG="+config)
+	return cmd
+}
+
+// A process that is started as it is deployed survives SIGHUP at each moment of its start, but for the first
+// of its shell. Guards against a reload that ends a relay which has just been started.
+func TestReloadDuringStartEndsNoProcess(t *testing.T) {
+	discovery, _ := newDiscoveryWithServer(t, "s1")
+	config := writeConfig(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = "127.0.0.1:0", discovery.Address
+	})
+	const moments, apart = 12, 300 * time.Microsecond
+	for moment := range moments {
+		disturb := func(process *os.Process) {
+			awaitProgram(t, process)
+			for until := time.Now().Add(time.Duration(moment) * apart); time.Now().Before(until); {
+			}
+			for range 3 {
+				process.Signal(syscall.SIGHUP)
+			}
+		}
+		cmd, address, messages := startDisturbed(t, deployedCommand(t, config), disturb)
+		go func() {
+			for range messages {
+			}
+		}()
+		dial(t, address).sendAndExpect(t, "PING", "PONG")
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("after SIGHUP at moment %d: %v", moment, err)
+		}
+	}
+}
+
+// awaitProgram waits until a process's shell has become the program.
+func awaitProgram(t *testing.T, process *os.Process) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); {
+		path, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", process.Pid))
+		if err == nil && path == os.Args[0] {
+			return
+		}
+	}
+	t.Fatal("the shell does not become the program")
+}
+
+// SIGTERM at any moment of the start ends the process: by the signal before it serves, and in order, with an
+// answer to each request that it has read, once it does. Guards against a start that hangs or loses requests.
+func TestShutdownDuringStart(t *testing.T) {
+	discovery, _ := newDiscoveryWithServer(t, "s1")
+	address := freeAddress(t)
+	config := writeConfig(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = address, discovery.Address
+		c["known"] = json.RawMessage(discovery.Snapshot())
+	})
+	const (
+		moments, apart = 6, 7 * time.Millisecond
+		within         = 10 * time.Second
+		clientsCome    = 400 * time.Millisecond // after SIGTERM, by the platform
+	)
+	for moment := range moments {
+		cmd := relayCommand(t, config)
+		log := &bytes.Buffer{}
+		cmd.Stderr = log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		lost := make(chan string, 1)
+		clients, end := context.WithCancel(t.Context())
+		go func() { lost <- sendRequests(clients, address) }()
+		time.Sleep(time.Duration(moment) * apart)
+		for range 2 {
+			cmd.Process.Signal(syscall.SIGTERM)
+		}
+		time.AfterFunc(clientsCome, end)
+		stuck := time.AfterFunc(within, func() { cmd.Process.Kill() })
+		err := cmd.Wait()
+		stuck.Stop()
+		status := cmd.ProcessState.Sys().(syscall.WaitStatus)
+		byTerm := status.Signaled() && status.Signal() == syscall.SIGTERM
+		if serving := strings.Contains(log.String(), `"serving"`); err != nil && (serving || !byTerm) {
+			t.Errorf("SIGTERM at moment %d: %v, serving %v\n%s", moment, err, serving, log)
+		}
+		if text := <-lost; text != "" {
+			t.Errorf("SIGTERM at moment %d: %s", moment, text)
+		}
+	}
+}
+
+// sendRequests sends requests, each on a connection of its own, until the context ends. It returns what became
+// of one that was closed on without an answer, "" for none: one that was never read is reset.
+func sendRequests(ctx context.Context, address string) string {
+	for ctx.Err() == nil {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprint(conn, openLine+"\r\n")
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		conn.Close()
+		if errors.Is(err, io.EOF) {
+			return fmt.Sprintf("a request ended with %q and a close", line)
+		}
+	}
+	return ""
+}
