Soak: clients use their connections to the kill, signals come in series, crowds, members

What it did not see: connections that are cut off without MOVE or held at SIGKILL, which came at no set time; signals that follow each other or come in a process's first milliseconds; crowds; views that change under load.

A seed prints the command that plays it alone.

An attempt now counts from when its bytes came (TCP_INFO), and ends when the kernel has its end as the next one is read. What is not judged any more: the overlap of an attempt that the relay had ended before a server read it, where that was over 5 ms late.

--- a/internal/testing/cluster/cluster.go
+++ b/internal/testing/cluster/cluster.go
@@ -24,6 +24,7 @@
 	Zones    []string           // in the settings; nil for the example's
 	ZoneOf   func(i int) string // a relay's, one of Zones
 
+	IgnoreHangup   bool             // processes are started with SIGHUP ignored, as they are deployed
 	Admin          bool             // relays listen on their admin addresses
 	Timeline       bool             // relays keep a time line
 	WithoutMembers bool             // relays do not know each other
--- a/internal/testing/cluster/faultyserver.go
+++ b/internal/testing/cluster/faultyserver.go
@@ -28,26 +28,35 @@
 	ID, Server string
 	At, End    time.Duration // as Now has it; End is 0 while the connection is open
 	MayHaveRun bool          // it was not answered BUSY
+	// EndedUnread says that the relay had ended the attempt before its first line was read, which had waited
+	// for the time ReadLate.
+	EndedUnread bool
+	ReadLate    time.Duration
+	// endedBeforeNext says that the relay had ended the attempt when the request's next one was read.
+	endedBeforeNext bool
+	// EndedByServer says that the server has ended the connection.
+	EndedByServer bool
 }
 
 // FaultyServer is a server of the platform's protocol that fails by its mode, and records what came to it.
 type FaultyServer struct {
 	ID, Address string
 
+	attempts *attemptLog // of all servers
 	mode     atomic.Int32
 	listener net.Listener
 	mu       sync.Mutex
-	open     map[net.Conn]struct{}
+	open     map[net.Conn]*Arrival // nil before the first line
 	arrivals []*Arrival
 }
 
 // NewFaultyServer starts a server on loopback that runs until Close.
-func NewFaultyServer(id string) (*FaultyServer, error) {
+func NewFaultyServer(id string, attempts *attemptLog) (*FaultyServer, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	t := &FaultyServer{ID: id, Address: l.Addr().String(), listener: l, open: map[net.Conn]struct{}{}}
+	t := &FaultyServer{attempts: attempts, ID: id, Address: l.Addr().String(), listener: l, open: map[net.Conn]*Arrival{}}
 	go t.accept()
 	return t, nil
 }
@@ -69,7 +78,10 @@
 func (t *FaultyServer) Reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for conn := range t.open {
+	for conn, a := range t.open {
+		if a != nil && !a.EndedByServer {
+			a.EndedByServer, a.End = true, Now()
+		}
 		conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
@@ -94,30 +106,37 @@
 func (t *FaultyServer) addConnection(conn net.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.open[conn] = struct{}{}
+	t.open[conn] = nil
 }
 
 func (t *FaultyServer) removeConnection(conn net.Conn, a *Arrival) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, conn)
-	if a != nil {
+	if a != nil && !a.EndedByServer {
 		a.End = Now()
 	}
 	conn.Close()
 }
 
 // recordArrival records an attempt, by the mode of this instant.
-func (t *FaultyServer) recordArrival(id string) *Arrival {
+func (t *FaultyServer) recordArrival(conn net.Conn, id string) *Arrival {
+	state := kernelState(conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := &Arrival{
-		ID:         id,
-		Server:     t.ID,
-		At:         Now(),
-		MayHaveRun: ServerMode(t.mode.Load()) != AnswerBusy,
+		ID:          id,
+		Server:      t.ID,
+		At:          state.receivedAt,
+		MayHaveRun:  ServerMode(t.mode.Load()) != AnswerBusy,
+		EndedUnread: state.peerEnded,
+		ReadLate:    Now() - state.receivedAt,
 	}
 	t.arrivals = append(t.arrivals, a)
+	t.attempts.add(a, conn)
+	if _, open := t.open[conn]; open {
+		t.open[conn] = a
+	}
 	return a
 }
 
@@ -140,7 +159,7 @@
 		case a != nil:
 			fmt.Fprint(conn, line)
 		default:
-			a = t.recordArrival(strings.Fields(text + " - -")[1])
+			a = t.recordArrival(conn, strings.Fields(text + " - -")[1])
 			if !t.answer(conn, a) {
 				return
 			}
--- a/internal/testing/cluster/judge.go
+++ b/internal/testing/cluster/judge.go
@@ -35,6 +35,7 @@
 
 	mu            sync.Mutex
 	requests      map[string]*Request
+	streams       []Stream
 	absences      []*Absence
 	discoveryLost map[int][]*Span // by relay: discovery was disturbed, or the process had just started
 	processDown   map[int][]*Span // by relay: the process was killed, or stopped
@@ -68,6 +69,11 @@
 	for _, r := range j.requests {
 		violations = append(violations, j.checkAnswer(r)...)
 	}
+	for _, s := range j.streams {
+		if attempts := byID[s.ID]; len(attempts) > 0 {
+			violations = append(violations, j.checkStream(s, attempts[len(attempts)-1])...)
+		}
+	}
 	slices.Sort(violations)
 	return violations
 }
@@ -112,7 +118,7 @@
 func (j *Judge) checkDuplicates(r *Request, attempts []Arrival) (violations []string) {
 	for i := 1; i < len(attempts); i++ {
 		first, last := attempts[i-1], attempts[i]
-		if first.End == 0 || first.End > last.At+overlapMargin {
+		if !endsBefore(first, last) {
 			violations = append(violations, fmt.Sprintf("duplicate: %s is out at %s and at %s",
 				r.ID, first.Server, last.Server))
 		}
@@ -135,6 +141,16 @@
 	return violations
 }
 
+// endsBefore reports whether an attempt has ended before the request's next one came, as far as their servers
+// can tell. One that the relay has ended before a server that is short of processor time came to read it may
+// have.
+func endsBefore(first, next Arrival) bool {
+	if first.EndedUnread && first.ReadLate > overlapMargin {
+		return true
+	}
+	return first.endedBeforeNext || first.End > 0 && first.End <= next.At+overlapMargin
+}
+
 // checkAnswer checks that a request has its answer in time. A process that was killed or stopped meanwhile
 // owes none.
 func (j *Judge) checkAnswer(r *Request) (violations []string) {
--- a/internal/testing/cluster/process.go
+++ b/internal/testing/cluster/process.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"capersail/internal/testing/faultpoint"
 )
@@ -92,6 +93,9 @@
 // command returns the command that starts a relay's process.
 func (fleet *Cluster) command(r *Relay) (*exec.Cmd, error) {
 	cmd := exec.Command(fleet.Program)
+	if fleet.IgnoreHangup {
+		cmd = exec.Command("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"", fleet.Program)
+	}
 	if !fleet.WithoutMembers {
 		cmd.Args = append(cmd.Args, "--members", r.path("members.toml"))
 	}
@@ -140,6 +144,45 @@
 	fleet.recordEvent(i, "kill")
 }
 
+// Signal sends a relay's process a signal, if it runs.
+func (fleet *Cluster) Signal(i int, signal syscall.Signal) {
+	if r := fleet.Relays[i]; r.running {
+		r.cmd.Process.Signal(signal)
+	}
+}
+
+// AwaitEnd waits for the end of a relay's process, and kills it if it has not come by then. It reports whether
+// the process ended by itself.
+func (fleet *Cluster) AwaitEnd(i int, within time.Duration) bool {
+	r := fleet.Relays[i]
+	if !r.running {
+		return true
+	}
+	select {
+	case <-r.ended:
+		r.running = false
+		r.stopped = false
+		fleet.recordEvent(i, "kill")
+		return true
+	case <-time.After(within):
+		fleet.Kill(i)
+		return false
+	}
+}
+
+// AwaitProgram waits until a relay's process is the program, and not the shell before it.
+func (fleet *Cluster) AwaitProgram(i int) {
+	r := fleet.Relays[i]
+	link := fmt.Sprintf("/proc/%d/exe", r.cmd.Process.Pid)
+	for {
+		path, err := os.Readlink(link)
+		if err != nil || path == fleet.Program {
+			return
+		}
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
 // Stop suspends a relay's process, if it runs.
 func (fleet *Cluster) Stop(i int) {
 	if r := fleet.Relays[i]; r.running && !r.stopped {
--- a/internal/testing/cluster/soak_test.go
+++ b/internal/testing/cluster/soak_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,12 +19,15 @@
 )
 
 const (
-	soakRelays    = 24
-	soakServers   = 10
-	soakRate      = 150.0 // requests a second
-	soakFor       = 22 * time.Second
-	soakFaults    = 9 // faults that go on beside each other
-	soakPushEvery = 3 // lists are pushed on each of so many seeds
+	soakRelays  = 24
+	soakServers = 10
+	soakRate    = 150.0 // requests a second
+	soakFor     = 22 * time.Second
+	soakFaults  = 9 // faults that go on beside each other
+	// Each of so many seeds has pushed lists, a crowd, and relays that know each other.
+	soakPushEvery    = 3
+	soakCrowdEvery   = 4
+	soakMembersEvery = 5
 	// soakDedupWindow is for how long servers recognize a repeat of the class guarded.
 	soakDedupWindow = 1200 * time.Millisecond
 )
@@ -66,7 +68,12 @@
 	if pushed {
 		settings["discovery"] = "push"
 	}
-	fleet := newCluster(t, Layout{Relays: soakRelays, WithoutMembers: true, Settings: settings}, 0)
+	fleet := newCluster(t, Layout{
+		Relays:         soakRelays,
+		WithoutMembers: seed%soakMembersEvery != 0,
+		IgnoreHangup:   true,
+		Settings:       settings,
+	}, 0)
 	s := &soak{
 		Cluster:      fleet,
 		pushedLists:  pushed,
@@ -75,8 +82,9 @@
 		processFault: make([]atomic.Bool, soakRelays),
 		removed:      make([]atomic.Bool, soakServers),
 	}
+	attempts := &attemptLog{attempts: map[string][]loggedAttempt{}}
 	for i := range soakServers {
-		server, err := NewFaultyServer(fmt.Sprintf("s%d", i))
+		server, err := NewFaultyServer(fmt.Sprintf("s%d", i), attempts)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -138,196 +146,12 @@
 	return from + time.Duration(float64(to-from)*rng.Float64())
 }
 
-// playFault plays one fault to its end.
-func (s *soak) playFault(t *testing.T, rng *rand.Rand) {
-	t.Helper()
-	draw := func(from, to time.Duration) time.Duration { return drawTime(rng, from, to) }
-	relay, server := rng.IntN(soakRelays), rng.IntN(soakServers)
-	switch rng.IntN(11) {
-	case 0, 1, 2:
-		mode := []ProxyMode{Silent, Trickle, Down, Broken, Hung}[rng.IntN(5)]
-		s.disturbDiscovery(relay, mode, draw(500*time.Millisecond, 9*time.Second))
-	case 3, 4, 5:
-		lifecycle := []string{"Gone", "Terminating"}[rng.IntN(2)]
-		s.removeServer(server, lifecycle, draw(500*time.Millisecond, 15*time.Second))
-	case 6:
-		s.countFault("server fails")
-		s.servers[server].SetMode(ServerMode(1 + rng.IntN(int(serverModes)-1)))
-		time.Sleep(draw(300*time.Millisecond, 4*time.Second))
-		s.servers[server].SetMode(Accept)
-	case 7, 10:
-		force := rng.IntN(2) == 0
-		s.restartRelay(t, relay, force, draw(0, time.Second))
-	case 8:
-		s.pauseRelay(relay, draw(50*time.Millisecond, 140*time.Millisecond))
-	case 9:
-		s.countFault("reload")
-		s.clusterMu.Lock()
-		s.Reload(relay)
-		s.clusterMu.Unlock()
-		time.Sleep(draw(0, 500*time.Millisecond))
-	}
-}
-
-// discoveryLost records that a relay may not be notified by discovery, and returns what ends that. A relay
-// counts as notified of what its own agent has unless the watch is silent: a break does not excuse it.
-func (s *soak) discoveryLost(relay int, mode ProxyMode) (end func()) {
-	if s.pushedLists && (mode == Down || mode == Broken || mode == Hung) {
-		return func() {}
-	}
-	return s.judge.DiscoveryLost(relay)
-}
-
-// disturbDiscovery disturbs a relay's connections to discovery for a time. Its next poll may be late by what
-// polls that hang and a backoff take.
-func (s *soak) disturbDiscovery(relay int, mode ProxyMode, length time.Duration) {
-	s.countFault("discovery disturbed")
-	heard := s.discoveryLost(relay, mode)
-	s.proxies[relay].SetMode(mode)
-	time.Sleep(length)
-	s.proxies[relay].SetMode(Pass)
-	time.AfterFunc(14*time.Second, heard)
-}
-
-// removeServer takes a server off the endpoint list for a time; one that is gone has died.
-func (s *soak) removeServer(i int, lifecycle string, length time.Duration) {
-	if s.removed[i].Swap(true) {
-		return
-	}
-	defer s.removed[i].Store(false)
-	s.countFault(lifecycle)
-	server := s.servers[i]
-	s.Discovery.Set(server.ID, server.Address, lifecycle)
-	back := s.judge.RecordAbsence(server.ID)
-	if lifecycle == "Gone" {
-		server.Reset()
-	}
-	time.Sleep(length)
-	back()
-	s.Discovery.Set(server.ID, server.Address, "Ready")
-}
-
-// restartRelay ends a relay's process, by force or gracefully, and starts it again after a pause.
-func (s *soak) restartRelay(t *testing.T, i int, force bool, pause time.Duration) {
-	t.Helper()
-	if s.processFault[i].Swap(true) {
-		return
-	}
-	defer s.processFault[i].Store(false)
-	s.serving[i].Store(false)
-	if force {
-		s.countFault("kill")
-		dead := s.judge.ProcessDown(i)
-		s.clusterMu.Lock()
-		s.Kill(i)
-		s.clusterMu.Unlock()
-		time.AfterFunc(200*time.Millisecond, dead)
-	} else {
-		s.countFault("leave")
-		s.Term(i)
-	}
-	time.Sleep(pause)
-	s.startRelay(t, i)
-}
-
-// pauseRelay stops a relay's process for a time, no longer than a process may be held up.
-func (s *soak) pauseRelay(i int, length time.Duration) {
-	if s.processFault[i].Swap(true) {
-		return
-	}
-	defer s.processFault[i].Store(false)
-	s.countFault("held up")
-	s.Stop(i)
-	time.Sleep(length)
-	s.Cont(i)
-}
-
-// sendRequest sends one request and records what became of it.
-func (s *soak) sendRequest(ctx context.Context, n int, rng *rand.Rand) {
-	relay := rng.IntN(soakRelays)
-	if !s.serving[relay].Load() {
-		return
-	}
-	class := rng.IntN(len(soakClasses))
-	r := Request{ID: fmt.Sprintf("q%d", n), Relay: relay, Idempotency: soakIdempotency[class]}
-	defer func() { s.judge.RecordRequest(r) }()
-	conn, err := net.DialTimeout("tcp", s.Relays[relay].Listen, time.Second)
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	line := fmt.Sprintf("OPEN %s %x c=%s,t=acme,d=%d\r\n",
-		r.ID, rng.Uint64(), soakClasses[class]["name"], requestDeadline.Milliseconds())
-	if !writeInPieces(conn, line, rng) {
-		return
-	}
-	r.Sent = Now()
-	waitLimit := requestDeadline + 2*time.Second
-	leaves := rng.IntN(8) == 0
-	if leaves {
-		waitLimit = drawTime(rng, 0, 400*time.Millisecond)
-	}
-	conn.SetReadDeadline(time.Now().Add(waitLimit))
-	in := bufio.NewReader(conn)
-	answer, err := in.ReadString('\n')
-	r.Answered = Now()
-	r.Answer, _, _ = strings.Cut(strings.TrimSpace(answer), " ")
-	if leaves && err != nil {
-		r.Closed = Now()
-		return
-	}
-	if r.Answer == "UP" {
-		conn.SetReadDeadline(time.Now().Add(drawTime(rng, 200*time.Millisecond, 1700*time.Millisecond)))
-		for err == nil && ctx.Err() == nil {
-			_, err = in.ReadString('\n')
-		}
-	}
-}
-
-// writeInPieces writes a line, one in four with a pause within it, and reports whether all of it was written.
-func writeInPieces(conn net.Conn, line string, rng *rand.Rand) bool {
-	if rng.IntN(4) == 0 {
-		cut := rng.IntN(len(line))
-		fmt.Fprint(conn, line[:cut])
-		time.Sleep(drawTime(rng, 0, 60*time.Millisecond))
-		line = line[cut:]
-	}
-	_, err := fmt.Fprint(conn, line)
-	return err == nil
-}
-
-// sendLoad sends requests until the context ends, and waits for the last of them.
-func (s *soak) sendLoad(ctx context.Context, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 1))
-	var clients sync.WaitGroup
-	defer clients.Wait()
-	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(time.Duration(rng.ExpFloat64() / soakRate * float64(time.Second)))
-		own := rand.New(rand.NewPCG(seed, uint64(n)+2))
-		clients.Go(func() { s.sendRequest(ctx, n, own) })
-	}
-}
-
-// playFaults plays faults, soakFaults at a time, until the context ends.
-func (s *soak) playFaults(ctx context.Context, t *testing.T, seed uint64) {
-	var faults sync.WaitGroup
-	defer faults.Wait()
-	for i := range soakFaults {
-		rng := rand.New(rand.NewPCG(seed, 1<<32+uint64(i)))
-		faults.Go(func() {
-			for ctx.Err() == nil {
-				time.Sleep(drawTime(rng, 0, 500*time.Millisecond))
-				s.playFault(t, rng)
-			}
-		})
-	}
-}
-
-// soakSeeds are the seeds to play: CAPERSAIL_SOAK names the first and how many, as in 100+20.
+// soakSeeds are the seeds to play: CAPERSAIL_SOAK names the first and how many, as in 100+20. Without it they are
+// one with everything, and one with lists that are asked for and no crowd.
 func soakSeeds(t *testing.T) (first, n uint64) {
 	text := os.Getenv("CAPERSAIL_SOAK")
 	if text == "" {
-		return 1, 1
+		return 60, 2
 	}
 	from, count, _ := strings.Cut(text, "+")
 	first, err := strconv.ParseUint(from, 10, 64)
@@ -342,8 +166,10 @@
 
 // A few dozen processes under faults that are drawn from a seed and overlap: discovery that falls silent,
 // trickles, is down, hangs or breaks off, and on each third seed pushes its lists; servers that leave, die,
-// come back, hang or fail; relays that are killed, leave, are held up or reload; clients that leave. Whatever
-// comes together, no rule is broken by what clients and servers saw, and none by the relays' own count.
+// come back, hang or fail; relays that are killed, leave, are held up or reload, by signals in series and in
+// their first moments; clients that leave, use their connections to the end, or come in a crowd; and on each
+// fifth seed relays that know each other. Whatever comes together, no rule is broken by what clients and
+// servers saw, and none by the relays' own count.
 func TestSoak(t *testing.T) {
 	first, n := soakSeeds(t)
 	for seed := first; seed < first+n; seed++ {
@@ -353,6 +179,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	t.Helper()
+	t.Logf("this seed alone: CAPERSAIL_SOAK=%d go test -race ./internal/testing/cluster -run 'TestSoak$' -v", seed)
 	s := newSoak(t, seed)
 	time.Sleep(5 * time.Second) // the relays' first polls are spread
 	ctx, stop := context.WithTimeout(t.Context(), soakFor)
@@ -360,11 +187,17 @@
 	var all sync.WaitGroup
 	all.Go(func() { s.sendLoad(ctx, seed) })
 	all.Go(func() { s.playFaults(ctx, t, seed) })
+	if seed%soakCrowdEvery == 0 {
+		all.Go(func() { s.sendCrowd(ctx, seed) })
+	}
 	all.Wait()
 	var arrivals []Arrival
 	for _, server := range s.servers {
 		arrivals = append(arrivals, server.Arrivals()...)
 	}
+	if !s.WithoutMembers { // newCluster checks the shares of the whole run
+		await(t, waitLimit(), "the shares are at their targets again", s.checkSettled)
+	}
 	broken := s.judge.Violations(arrivals)
 	for i, text := range broken {
 		if i == 12 {
@@ -384,7 +217,8 @@
 		t.Logf("%s: %d", kind, n.(*atomic.Int64).Load())
 		return true
 	})
-	t.Logf("seed %d: %d requests, %d attempts, %d faults", seed, len(s.judge.requests), len(arrivals), faults)
+	t.Logf("seed %d: %d requests, %d attempts, %d streams, %d faults",
+		seed, len(s.judge.requests), len(arrivals), len(s.judge.streams), faults)
 	if len(s.judge.requests) < 1000 || len(arrivals) < 500 || faults < 20 {
 		t.Error("too little happened for a verdict")
 	}
