Take no client's connection by an accept that blocks while the relay leaves

What callers saw: in an upgrade on a socket that the platform had made blocking, the old process took one more connection as it was about to exit, and its request could end without an answer.

Cause: Close of a listener waits for an accept that is in the kernel, and that accept takes the next connection, however late.

SO_RCVTIMEO was tried and does not bound the accept of a listener made by Go, which is an MPTCP socket.

Change: the process connects to its own socket until Close has returned, at most 25 times in 0.5 s; the accept takes that connection, or the successor does, which sees it end. Same fault elsewhere: the sockets of gossip, control and admin are not shared with other processes.

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -30,7 +30,7 @@
 	cmd.Env = append(cmd.Env, append(env, "LB_FD=3")...)
 	cmd, address, messages := startCommand(t, cmd)
 	// exec made the shared socket blocking; the platform leaves it as the relay set it.
-	setNonblocking(t, l)
+	setBlocking(t, l, false)
 	// Read on, whether the test looks or not: a full pipe would stop the program.
 	logs := make(chan string, 1<<16)
 	go func() {
@@ -45,14 +45,14 @@
 	return cmd, address, logs
 }
 
-// setNonblocking sets the socket, as all processes share it, back to non-blocking.
-func setNonblocking(t *testing.T, l *net.TCPListener) {
+// setBlocking makes the socket, as all processes share it, blocking or not.
+func setBlocking(t *testing.T, l *net.TCPListener, blocking bool) {
 	t.Helper()
 	raw, err := l.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), true) })
+	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), !blocking) })
 }
 
 // platformSocket is a listening socket held as the platform holds it, and a configuration for relays on it
@@ -118,6 +118,31 @@
 	}
 }
 
+// Whoever else holds the socket has made it blocking, so that an accept of the relay's waits in the kernel: a
+// relay that leaves takes no connection any more all the same. Guards against a connection that an old process
+// accepts as it exits, and nobody answers.
+func TestLeavingRelayTakesNoConnectionByABlockedAccept(t *testing.T) {
+	l, config := platformSocket(t)
+	old, _, _ := startOnInheritedSocket(t, config, l)
+	setBlocking(t, l, true)
+	dial(t, l.Addr().String()).sendAndExpect(t, "PING", "PONG") // the accept after this one blocks
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond) // it has stopped accepting
+	setBlocking(t, l, false)
+	dial(t, l.Addr().String())
+	l.SetDeadline(time.Now().Add(5 * time.Second))
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatalf("the connection went to the relay that leaves: %v", err)
+	}
+	conn.Close()
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process ended with %v", err)
+	}
+}
+
 // callAdmin makes one call to the admin address and returns its status and body.
 func callAdmin(t *testing.T, method, url string) (int, string) {
 	t.Helper()
--- a/internal/lifecycle/listen.go
+++ b/internal/lifecycle/listen.go
@@ -4,6 +4,14 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
+)
+
+const (
+	// unblockInterval is the time between two connections that are to end a blocked accept.
+	unblockInterval = 20 * time.Millisecond
+	// maxUnblocks bounds them, as another process may take each.
+	maxUnblocks = 25
 )
 
 // listen returns the listener for the clients' address, and whether it was inherited.
@@ -30,3 +38,24 @@
 	}
 	return l, true, nil
 }
+
+// closeShared closes a listener whose socket other processes hold too. Where one of them has made the socket
+// blocking, an accept in progress goes on in the kernel, holds the close, and would take a client's connection
+// while this process exits. It is given one of this process's own instead.
+func closeShared(l net.Listener) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		l.Close()
+	}()
+	for range maxUnblocks {
+		select {
+		case <-closed:
+			return
+		case <-time.After(unblockInterval):
+		}
+		if conn, err := net.DialTimeout("tcp", l.Addr().String(), unblockInterval); err == nil {
+			conn.Close()
+		}
+	}
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -153,10 +153,8 @@
 		for _, front := range p.fronts {
 			fronts.Go(func() {
 				if front.inherited {
-					// The successor accepts from the same queue: nothing that comes is rejected. Not waited
-					// for: where whoever else holds the socket has made it blocking, an accept in progress
-					// holds the close until a connection comes.
-					go front.listener.Close()
+					// The successor accepts from the same queue: nothing that comes is rejected.
+					go closeShared(front.listener)
 				}
 				shutDownFront(front)
 				front.listener.Close()
