Show that an XMPP server that keeps pushing stops all stanzas to it

Cause: internal/wire/xmpp/stanzas.go takes every stanza of a server as a sign of life for the ping that alone confirms what was forwarded. A server that sends at least once in silent_ms/5 is never pinged, the unconfirmed stanzas reach their limit of 64, and from then on mustHoldQueue holds the client's queue.

Nothing is fixed.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the cases. They use Go's standard library alone; nothing is downloaded.
+set -e
+cd "$(dirname "$0")/standin"
+mkdir -p ../bin
+GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../bin/standin .
