Show that an XMPP client that was cut off for 6 s keeps a stream that nobody serves

Cause: where a write to the client fails, forwardStanzas in internal/wire/xmpp/stanzas.go returns without ending the client's side. The connection to the server is closed and the request ends, but the client's goroutine goes on reading without a deadline, and the client is never told.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,8 @@
 
 // cases are the cases by name. Each returns an exit code, or an error if the case could not run.
 var cases = map[string]func(r *record, folder string, trouble bool) (int, error){
-	"alert-storm": alertStorm,
+	"alert-storm":   alertStorm,
+	"client-stalls": clientStalls,
 }
 
 func main() {
