Show sends to a draining server after SIGHUP moved polled discovery to a slow address

Cause: internal/guard/endpoint_lease.go uses the 4 s after a change of discovery's address for pushed lists only. The lease on a polled list goes by 5.8 s since discovery was last heard, whatever SIGHUP did.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(r *record, folder string, trouble bool) (int, error){
 	"alert-storm":   alertStorm,
 	"client-stalls": clientStalls,
+	"new-discovery": newDiscovery,
 }
 
 func main() {
