--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standin"
 mkdir -p ../bin
-GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../bin/standin .
+GOTOOLCHAIN=local GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../bin/standin .
--- a/review/standin/alerts.go
+++ b/review/standin/alerts.go
@@ -21,7 +21,7 @@
 }
 
 // startAlerts starts a deployment. Its relay's file is that of deploy/xmpp.toml, with free ports.
-func startAlerts(folder string, servers int, received func(name, id string, at time.Time)) (*alertsDeployment, error) {
+func startAlerts(folder string, servers int, received func(id string, at time.Time)) (*alertsDeployment, error) {
 	d := &alertsDeployment{}
 	var err error
 	if d.zooKeeper, err = startZooKeeper(alertsPath); err != nil {
--- a/review/standin/alertstorm.go
+++ b/review/standin/alertstorm.go
@@ -35,7 +35,7 @@
 		sent: map[string]time.Time{}, received: map[string]time.Time{}, returned: map[string]time.Time{},
 		ended: map[string]time.Time{},
 	}
-	d, err := startAlerts(folder, 3, func(name, id string, at time.Time) {
+	d, err := startAlerts(folder, 3, func(id string, at time.Time) {
 		log.mu.Lock()
 		defer log.mu.Unlock()
 		if _, ofGateway := log.sent[id]; ofGateway {
@@ -62,7 +62,7 @@
 		go log.read(r, gatewayName(i), c)
 		senders.Go(func() { log.send(gatewayName(i), c, stop) })
 	}
-	pushed := pushAlerts(r, d, open, trouble, stop)
+	pushed := pushAlerts(r, d, open, trouble)
 	close(stop)
 	senders.Wait()
 	time.Sleep(2 * time.Second)
@@ -80,7 +80,7 @@
 func gatewayName(i int) string { return fmt.Sprintf("g%d", i+1) }
 
 // pushAlerts pushes alerts until the case stops, and returns how many each stream got.
-func pushAlerts(r *record, d *alertsDeployment, open time.Time, trouble bool, stop chan struct{}) (pushed int) {
+func pushAlerts(r *record, d *alertsDeployment, open time.Time, trouble bool) (pushed int) {
 	storm := false
 	for next := time.Now(); time.Since(open) < stormStops; {
 		at := time.Since(open)
--- a/review/standin/clientstalls.go
+++ b/review/standin/clientstalls.go
@@ -35,7 +35,7 @@
 }
 
 func clientStalls(r *record, folder string, trouble bool) (int, error) {
-	d, err := startAlerts(folder, 2, func(string, string, time.Time) {})
+	d, err := startAlerts(folder, 2, func(string, time.Time) {})
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin/xmpp.go
+++ b/review/standin/xmpp.go
@@ -34,7 +34,7 @@
 // It handles the stanzas of a stream in their order, and pushes to open streams what push is told.
 type xmppServer struct {
 	address  string
-	received func(name, id string, at time.Time) // called for each message and iq of a client, not for pings of the relay
+	received func(id string, at time.Time) // called for each stanza
 
 	mu      sync.Mutex
 	streams map[*xmppStream]bool
@@ -70,7 +70,7 @@
 	return err
 }
 
-func startXMPPServer(received func(name, id string, at time.Time)) (*xmppServer, error) {
+func startXMPPServer(received func(id string, at time.Time)) (*xmppServer, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -163,7 +163,7 @@
 			c.send("<iq type='result' id='%s'/>", in.ID)
 		}
 	}
-	s.received(in.XMLName.Local, in.ID, time.Now())
+	s.received(in.ID, time.Now())
 }
 
 // xmppClient is a sound XMPP client.
