--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -30,7 +30,7 @@
 // platformRelay is a relay of the platform's front.
 type platformRelay struct {
 	*relayProcess
-	address, config, listen string
+	address, config string
 }
 
 // writeConfig writes the relay's configuration.
@@ -78,9 +78,8 @@
 
 // tileClients are clients that each open a connection, keep it for a time and send a line every 2 s.
 type tileClients struct {
-	mu       sync.Mutex
-	answers  map[string]int // by the first word
-	lastLine int
+	mu      sync.Mutex
+	answers map[string]int // by the first word
 }
 
 // open opens one connection and keeps it.
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// measuringError is how late a stand-in may read its clock. What is over a bound by less is not judged.
+const measuringError = 20 * time.Millisecond
+
 // record is the file record.txt of a case.
 type record struct {
 	mu    sync.Mutex
