--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the cases. They use Go's standard library alone; nothing is downloaded.
-set -e
+# Builds the stand-ins of the cases. The relay itself is built by the command of deploy/balancer.toml.
+set -eu
 cd "$(dirname "$0")/.."
-mkdir -p review/bin
-GOTOOLCHAIN=local GOPROXY=off go build -o review/bin/ ./review/standin
+mkdir -p bin
+go build -o bin/review-standin ./review/standin
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,56 +1,68 @@
-// Command standin plays the cases of the review: it starts the project's relays by the deploy file's command
-// and stand-ins for everything else.
+// Command standin plays the cases of the review: it starts relays with the command of the deploy file, beside
+// clients, servers and outside systems that it plays itself, and checks one rule. Its exit status is 0 if the
+// rule held, 1 if it was broken, and 2 if the case could not run.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
-// The exit codes of a case.
-const (
-	ruleHeld   = 0
-	ruleBroken = 1
-	cannotRun  = 2
-)
+// longestCase is the time after which a case is given up.
+const longestCase = 115 * time.Second
+
+// errBroken is the error of a case in which the rule was broken.
+var errBroken = errors.New("the rule was broken")
 
-// cases are the cases by name. Each returns an exit code, or an error if the case could not run.
-var cases = map[string]func(r *record, folder string, trouble bool) (int, error){
-	"alert-storm":   alertStorm,
-	"client-stalls": clientStalls,
-	"new-discovery": newDiscovery,
+// cases maps the names of the cases to the functions that play them.
+var cases = map[string]func(*rig) error{
+	"silent":  playSilent,
+	"upgrade": playUpgrade,
+	"stalled": playStalled,
+	"cold":    playCold,
+	"storm":   playStorm,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
-		os.Exit(cannotRun)
+		os.Exit(2)
 	}
-	os.Exit(run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(cases[os.Args[1]], os.Args[2]))
 }
 
-func run(name, path string, trouble bool) int {
-	r, err := newRecord(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return cannotRun
-	}
-	folder, err := os.MkdirTemp("", "review-")
+// run plays a case and returns the exit status. The record goes to a file.
+func run(play func(*rig) error, recordFile string) int {
+	r, err := newRig(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return cannotRun
-	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(folder)
+		return 2
 	}
-	r.add("case %s, disruption %v", name, trouble)
-	code, err := cases[name](r, folder, trouble)
-	if err != nil {
-		r.add("the case could not run: %v", err)
-		fmt.Fprintln(os.Stderr, err)
-		return cannotRun
+	defer r.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-interrupted:
+		case <-time.After(longestCase):
+		}
+		r.note("result: could not run: interrupted, or over its time")
+		r.close()
+		os.Exit(2)
+	}()
+	err = play(r)
+	switch {
+	case errors.Is(err, errBroken):
+		r.note("result: broken")
+		return 1
+	case err != nil:
+		r.note("result: could not run: %v", err)
+		return 2
 	}
-	r.add("exit %d", code)
-	fmt.Printf("%s: exit %d\n", name, code)
-	return code
+	r.note("result: held")
+	return 0
 }
--- /dev/null
+++ b/review/standin/storm.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// longestSilence is the most that `silent_ms` may be: by then a stanza is confirmed, or it is returned
+	// and its stream ended.
+	longestSilence = 7 * time.Second
+	queries        = 150
+	queryInterval  = 400 * time.Millisecond
+)
+
+// storm pushes alerts to all streams until it is ended.
+type storm struct {
+	count atomic.Int64
+	stop  chan struct{}
+}
+
+// startStorm pushes an alert at each interval to every stream, with a body of a length.
+func (f *alertFleet) startStorm(every time.Duration, length int) *storm {
+	s := &storm{stop: make(chan struct{})}
+	go func() {
+		for {
+			select {
+			case <-s.stop:
+				return
+			case <-time.After(every):
+				f.push(fmt.Sprintf("a%d", s.count.Add(1)), length)
+			}
+		}
+	}()
+	return s
+}
+
+func (s *storm) pushed() int { return int(s.count.Load()) }
+func (s *storm) end()        { close(s.stop) }
+
+// playStorm plays clients that send a query every 400 ms, which the servers answer at once, while alerts come
+// four times a second. Each query must be answered, or returned as an error, or its stream be ended, within
+// the longest `silent_ms`.
+func playStorm(r *rig) error {
+	f, err := startAlertFleet(r, 5)
+	if err != nil {
+		return err
+	}
+	clients, err := f.openStreams(10)
+	if err != nil {
+		return err
+	}
+	every := 250 * time.Millisecond
+	if !r.trouble {
+		every = 1500 * time.Millisecond
+	}
+	r.note("an alert every %v to each stream", every)
+	alerts := f.startStorm(every, 400)
+	sentAt := map[string]time.Time{}
+	for n := range queries {
+		id := fmt.Sprintf("q%d", n+1)
+		sentAt[id] = time.Now()
+		for _, c := range clients {
+			fmt.Fprintf(c.conn, "<iq type='get' id='%s'><query xmlns='jabber:iq:version'/></iq>", id)
+		}
+		time.Sleep(queryInterval)
+	}
+	time.Sleep(longestSilence + time.Second)
+	broken := false
+	for _, c := range clients {
+		unanswered, longest := c.unanswered(sentAt)
+		outcome, _, _ := c.state()
+		r.note("%s: %d of %d queries unanswered, the oldest for %d ms; %d of %d alerts; stream ended: %q", c.user,
+			unanswered, queries, longest.Milliseconds(), c.received(), alerts.pushed(), outcome)
+		broken = broken || unanswered > 0 && outcome == ""
+	}
+	for _, s := range f.allServers() {
+		r.note("server %s: %d queries came and were answered", s.name, s.answered.Load())
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
