Review case 1: the plug-in ends its client's process while sessions flap

Cause: the plug-in's frame tracker may be told of the client's preface while a read is under way. That read is not limited to a frame's header but recorded as one, and the next read slices with a negative length.

Done: six dashboards with 200 grpc-go channels each call ten servers through the plug-in; the registry's nodes of two servers at a time flap. The upgrade of a relay with members stays as a trial of the stand-in.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,4 +8,4 @@
 	echo "run the build of deploy/balancer.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec bin/review-standin silent review/1/record.txt
+exec bin/review-standin flap review/1/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,14 +20,20 @@
 
 // cases maps the names of the cases to the functions that play them.
 var cases = map[string]func(*rig) error{
-	"silent":  playSilent,
-	"upgrade": playUpgrade,
+	"flap":    playFlap,
 	"stalled": playStalled,
-	"cold":    playCold,
 	"storm":   playStorm,
+	"upgrade": playUpgrade,
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "dashboard" {
+		if err := runDashboard(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
