--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -12,6 +12,7 @@
 	longestSilence = 7 * time.Second
 	queries        = 200
 	queryInterval  = 400 * time.Millisecond
+	afterStorm     = 5 * time.Second
 	// calmInterval is the time between two alerts of a stream; in the storm they are half as many again.
 	calmInterval  = 1250 * time.Millisecond
 	stormInterval = calmInterval * 2 / 3
@@ -86,6 +87,10 @@
 	for _, s := range f.servers {
 		r.note("server %s: %d queries came and were answered", s.name, s.answered.Load())
 	}
+	alerts.end()
+	time.Sleep(afterStorm)
+	left, _ := clients[0].unanswered(sentAt)
+	r.note("%v after the last alert (not judged): %s has %d queries unanswered", afterStorm, clients[0].user, left)
 	if broken {
 		return errBroken
 	}
