Follow HTTP/2 frames of the plug-in however its reads are cut

Cause: whether the bytes are frames is known from the client's first write on, and grpc-go's first read is pending before that write. So one value, `plaintext`, stood for two instants, the begin and the end of a read: at the begin the read was not limited, at its end it was recorded as a limited one. The header grew over 9 bytes, and the next limit was negative.

Fix: frameTracker follows every byte from the first on, in pieces of any length, so nothing depends on a limit that was in force when a read began. Reads are limited to a frame only while a GOAWAY is to be inserted, where the limit only says how soon the boundary comes. If the preface comes after the drain has begun, it interrupts the pending read, so that the GOAWAY is at the first boundary then too.

--- a/plugin/conn.go
+++ b/plugin/conn.go
@@ -13,7 +13,8 @@
 
 // placedConn is a connection to the server that the decision module chose. It tracks the boundaries of the
 // server's frames, so that it can insert a GOAWAY frame when the server begins to drain. gRPC then closes the
-// connection after the calls in flight.
+// connection after the calls in flight. gRPC reads in one goroutine and writes in another, and its first read
+// is pending before its first write.
 type placedConn struct {
 	net.Conn
 	request      *relay.Request
@@ -80,12 +81,15 @@
 	}
 }
 
-// checkDrain starts to drain the connection if the request is to be migrated or its server drains. It
-// interrupts a pending read, so that the GOAWAY can be inserted.
+// checkDrain starts to drain the connection if the request is to be migrated or its server drains.
 func (c *placedConn) checkDrain() {
-	if migrating, _ := c.request.Migrating(); !migrating && !c.request.ServerDraining() {
-		return
+	if migrating, _ := c.request.Migrating(); migrating || c.request.ServerDraining() {
+		c.beginDrain()
 	}
+}
+
+// beginDrain starts to drain the connection, unless it drains already or has ended.
+func (c *placedConn) beginDrain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended || c.draining {
@@ -93,9 +97,17 @@
 	}
 	c.draining = true
 	c.drainTimer = time.AfterFunc(c.drainTimeout, func() { c.Conn.Close() })
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
+	c.interruptRead()
+}
+
+// goAwayDue reports whether the GOAWAY must be inserted before anything else is read. The caller holds mu.
+func (c *placedConn) goAwayDue() bool {
+	return c.draining && !c.goAwaySent && c.frames.betweenFrames()
 }
 
+// interruptRead makes a pending read return, and Read check whether the GOAWAY is due. The caller holds mu.
+func (c *placedConn) interruptRead() { c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // Close closes the connection and reports the end of the attempt. Further calls do nothing. Errors are
 // network errors.
 func (c *placedConn) Close() error {
@@ -144,7 +156,7 @@
 func (c *placedConn) beginRead(p []byte) (injected, limit int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining && !c.goAwaySent && c.frames.betweenFrames() {
+	if c.goAwayDue() {
 		c.goAwaySent, c.injected = true, goAwayFrame
 	}
 	if c.draining { // clears the deadline set by checkDrain, as the rest of the frame must be read
@@ -155,7 +167,10 @@
 		c.injected = c.injected[injected:]
 		return injected, 0
 	}
-	return 0, c.frames.limitRead(len(p))
+	if c.draining && !c.goAwaySent {
+		return 0, c.frames.limitRead(len(p))
+	}
+	return 0, len(p)
 }
 
 // endRead records the result of a read. It returns true if the read was interrupted by checkDrain and must be
@@ -172,7 +187,9 @@
 // Write writes to the server. Errors are network errors.
 func (c *placedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.frames.recordWrite(p)
+	if c.frames.recordWrite(p) && c.draining {
+		c.interruptRead() // the pending read is not limited to a frame, and the server may send nothing more
+	}
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
--- a/plugin/frames.go
+++ b/plugin/frames.go
@@ -18,7 +18,9 @@
 )
 
 // frameTracker tracks the boundaries of the HTTP/2 frames that a server sends, so that a frame can be
-// inserted between two of them.
+// inserted between two of them. It accepts reads of any length: a read may already be pending when the
+// client's first write shows whether the connection carries plain HTTP/2, or when the connection starts to
+// drain, so no earlier limit can be relied on.
 type frameTracker struct {
 	prefaceSeen  bool   // the client has written its first bytes
 	plaintext    bool   // HTTP/2 without TLS, whose frames can be parsed
@@ -27,13 +29,15 @@
 	bodyLeft     int    // bytes of the current frame's body that have not been read
 }
 
-// recordWrite checks whether the client's first bytes are the HTTP/2 preface.
-func (t *frameTracker) recordWrite(p []byte) {
+// recordWrite checks whether the client's first bytes are the HTTP/2 preface. It reports whether the
+// connection has just turned out to be plain HTTP/2.
+func (t *frameTracker) recordWrite(p []byte) (recognized bool) {
 	if t.prefaceSeen || len(p) == 0 {
-		return
+		return false
 	}
 	t.prefaceSeen = true
 	t.plaintext = bytes.HasPrefix(p, clientPreface[:min(len(p), len(clientPreface))])
+	return t.plaintext
 }
 
 // betweenFrames reports whether a frame may be inserted now.
@@ -41,7 +45,8 @@
 	return t.plaintext && t.settingsDone && t.bodyLeft == 0 && len(t.header) == 0
 }
 
-// limitRead limits a read to n bytes and to the end of the current frame's header or body.
+// limitRead limits a read to n bytes and to the end of the current frame's header or body, so that it does
+// not pass the next point at which a frame may be inserted.
 func (t *frameTracker) limitRead(n int) int {
 	switch {
 	case !t.plaintext:
@@ -53,18 +58,34 @@
 	}
 }
 
-// recordRead updates the position in the current frame after a read that limitRead limited.
+// recordRead updates the position in the current frame after a read. Bytes that come before the client's
+// first write are recorded too, as they may be the server's first frames. Those of TLS are not frames, and
+// nothing depends on where they seem to end.
 func (t *frameTracker) recordRead(p []byte) {
-	if !t.plaintext || len(p) == 0 {
+	if t.prefaceSeen && !t.plaintext {
 		return
 	}
+	for len(p) > 0 {
+		p = p[t.advance(p):]
+	}
+}
+
+// advance moves the position past the part of p that belongs to the current header or body, and returns the
+// length of that part. p must not be empty.
+func (t *frameTracker) advance(p []byte) (n int) {
 	if t.bodyLeft > 0 {
-		t.bodyLeft -= len(p)
-	} else if t.header = append(t.header, p...); len(t.header) == frameHeaderBytes {
-		t.bodyLeft = int(binary.BigEndian.Uint32(append([]byte{0}, t.header[:frameLengthBytes]...)))
-		t.header = t.header[:0]
+		n = min(len(p), t.bodyLeft)
+		t.bodyLeft -= n
+	} else {
+		n = min(len(p), frameHeaderBytes-len(t.header))
+		t.header = append(t.header, p[:n]...)
+		if len(t.header) == frameHeaderBytes {
+			t.bodyLeft = int(binary.BigEndian.Uint32(append([]byte{0}, t.header[:frameLengthBytes]...)))
+			t.header = t.header[:0]
+		}
 	}
 	if t.bodyLeft == 0 && len(t.header) == 0 {
 		t.settingsDone = true
 	}
+	return n
 }
