Keep gRPC's read deadline on a connection that drains

Cause: the connection's read deadline had two owners. The drain sets it to interrupt a read and clears it before the next one; gRPC sets it too. A read that ran into gRPC's deadline was taken for an interrupted one, the deadline was cleared, and the read repeated. It also counted as a close by the server.

Fix: placedConn keeps the deadline that gRPC has set apart from the interruption, puts it back after one, and repeats only a read that was interrupted.

The test failed before: conn_test.go:167: read beyond its deadline on a draining connection has not returned

--- a/plugin/conn.go
+++ b/plugin/conn.go
@@ -24,10 +24,12 @@
 
 	mu           sync.Mutex // guards the fields below
 	frames       frameTracker
-	established  bool // the connection may have been returned to gRPC
-	ended        bool // Close has been called
-	woken        bool // wake has been called
-	draining     bool // a GOAWAY must be inserted, unless goAwaySent
+	established  bool      // the connection may have been returned to gRPC
+	ended        bool      // Close has been called
+	woken        bool      // wake has been called
+	draining     bool      // a GOAWAY must be inserted, unless goAwaySent
+	readDeadline time.Time // set by gRPC; the zero time means none
+	interrupting bool      // the connection's read deadline is not readDeadline, but interrupts the pending read
 	goAwaySent   bool
 	injected     []byte // the part of the inserted GOAWAY that has not been read yet
 	drainTimer   *time.Timer
@@ -106,7 +108,29 @@
 }
 
 // interruptRead makes a pending read return, and Read check whether the GOAWAY is due. The caller holds mu.
-func (c *placedConn) interruptRead() { c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *placedConn) interruptRead() {
+	c.interrupting = true
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// SetReadDeadline sets the deadline of reads. Errors are network errors.
+func (c *placedConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = at
+	if c.interrupting { // beginRead sets the new deadline
+		return nil
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetDeadline sets the deadlines of reads and writes. Errors are network errors.
+func (c *placedConn) SetDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(at)
+}
 
 // Close closes the connection and reports the end of the attempt. Further calls do nothing. Errors are
 // network errors.
@@ -159,8 +183,9 @@
 	if c.goAwayDue() {
 		c.goAwaySent, c.injected = true, goAwayFrame
 	}
-	if c.draining { // clears the deadline set by checkDrain, as the rest of the frame must be read
-		c.Conn.SetReadDeadline(time.Time{})
+	if c.interrupting {
+		c.interrupting = false
+		c.Conn.SetReadDeadline(c.readDeadline)
 	}
 	if len(c.injected) > 0 {
 		injected = copy(p, c.injected)
@@ -173,15 +198,15 @@
 	return 0, len(p)
 }
 
-// endRead records the result of a read. It returns true if the read was interrupted by checkDrain and must be
-// repeated.
+// endRead records the result of a read. It returns true if the read was interrupted by interruptRead and must
+// be repeated.
 func (c *placedConn) endRead(p []byte, err error) (interrupted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.frames.recordRead(p)
-	interrupted = errors.Is(err, os.ErrDeadlineExceeded) && c.draining && len(p) == 0
-	c.serverClosed = c.serverClosed || err != nil && !interrupted
-	return interrupted
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	c.serverClosed = c.serverClosed || err != nil && !timedOut
+	return timedOut && c.interrupting && len(p) == 0
 }
 
 // Write writes to the server. Errors are network errors.
--- a/plugin/conn_test.go
+++ b/plugin/conn_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -135,3 +137,34 @@
 		}
 	}
 }
+
+// gRPC bounds its last read of a connection that it closes by a deadline. While the connection drained, that
+// deadline was taken for the interruption of a read and removed, and the read did not return.
+func TestReadDeadlineHoldsDuringDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer server.Close()
+		conn := &placedConn{Conn: client, drainTimeout: time.Hour}
+		read := make(chan error, 1)
+		go func() {
+			_, err := conn.Read(make([]byte, 1))
+			read <- err
+		}()
+		synctest.Wait()
+		conn.beginDrain()
+		defer conn.drainTimer.Stop()
+		synctest.Wait()
+		conn.SetReadDeadline(time.Now().Add(time.Second))
+		select {
+		case err := <-read:
+			if !errors.Is(err, os.ErrDeadlineExceeded) || conn.serverClosed {
+				t.Errorf("read beyond its deadline: got error %v, server closed %v; want a time-out and false",
+					err, conn.serverClosed)
+			}
+		case <-time.After(time.Minute):
+			t.Error("read beyond its deadline on a draining connection has not returned")
+			server.Close()
+			<-read
+		}
+	})
+}
