End an XMPP client's connection when a write to it fails

What callers saw: an XMPP client that read nothing for 4 s was left on an open connection on which nothing came any more, neither a stanza nor the end of its stream.

Cause: nobody owned a failed write to the client. forwardStanzas and establish only returned decide.Cancelled; the table wakes the client's goroutine for the final answer of a request that was never established, but this one was, so it waited in a read without a deadline. The failed write had also sent a part of a stanza, and nothing kept further writes (outcome, bounces, on the platform a token) from following that part.

Fix: stream.forward is the one place that writes to an XMPP client; if a write fails it ends the stream and resets the connection, which ends the client's goroutine as any other close does. splice.Conn, which all fronts share, writes nothing after a failed write and closes with a reset. The lock of the queue was held during writes: while a client did not read, what it sent was not queued, and a wake by the request table would have waited for the write with the table's lock held. Writes have a lock of their own now. A log line names host and server of a client that does not read.

--- a/internal/lifecycle/xmpp_front.go
+++ b/internal/lifecycle/xmpp_front.go
@@ -35,12 +35,13 @@
 		return nil, err
 	}
 	clock := relay.NewClock()
+	limiter := connlimit.New(clock, connectionCapacity(c.Sockets, false), log)
 	servers := &xmpp.ServerDialer{
 		Clock:          clock,
 		ConnectTimeout: relay.DurationFromMillis(c.ConnectMs),
 		ProbeHost:      c.Hosts[0].To,
 		SilenceTimeout: relay.DurationFromMillis(c.SilenceMs),
-		Log:            log,
+		Log:            limiter.Log,
 	}
 	requests := relay.NewRequestTable(deployment, clock, servers)
 	parts.join(&frontHooks{frontName: "xmpp", relayName: "xmpp", requests: requests, clock: clock})
@@ -51,7 +52,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	limiter := connlimit.New(clock, connectionCapacity(c.Sockets, false), log)
 	front := &xmpp.Frontend{Requests: requests, Hosts: hosts, Limiter: limiter}
 	front.TLS.Store(secure)
 	go endpoints.Run(ctx)
--- a/internal/lifecycle/xmpp_test.go
+++ b/internal/lifecycle/xmpp_test.go
@@ -9,7 +9,9 @@
 	"crypto/x509"
 	"encoding/pem"
 	"encoding/xml"
+	"errors"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"os"
@@ -314,6 +316,21 @@
 	}
 }
 
+// A client that reads nothing while alerts come loses its stream. Once it reads again it must see that its
+// connection has ended, and not wait for alerts on a connection that nobody serves.
+func TestXMPPStalledClientSeesTheEnd(t *testing.T) {
+	b := newXMPPFixture(t, "plaintext = true")
+	s := b.startServer("n1", "")
+	s.Flood = "<message><body>" + strings.Repeat("x", 2000) + "</body></message>"
+	c := b.dial()
+	b.checkEqual("set-up", c.setUpStream(), "up")
+	waitForStage(t, s, "closed")
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the client's connection is open 5 s after its stream was closed at the server, want its end")
+	}
+}
+
 func TestXMPPDrainMidSASL(t *testing.T) {
 	b := newXMPPFixture(t, "plaintext = true")
 	s := b.startServer("n1", "auth")
--- a/internal/testing/fake/xmpp.go
+++ b/internal/testing/fake/xmpp.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/xml"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 )
@@ -14,8 +15,11 @@
 	// HoldAt is the stage from which the server no longer answers a connection: "header", "auth", or "" for
 	// none.
 	HoldAt string
+	// Flood is written to each connection over and over from its stage "up" on, until the peer closes it. "" for
+	// nothing. It must be set before the first client connects.
+	Flood string
 	// Stages receives one entry per stage of a connection: "header", "auth", "up", and "message ID" for each
-	// stanza.
+	// stanza; "closed" once a connection that is flooded is closed.
 	Stages chan string
 
 	acceptor acceptor
@@ -99,6 +103,7 @@
 		s.send(c, "%s<stream:features><bind xmlns='urn:ietf:params:xml:ns:xmpp-bind'/></stream:features>",
 			streamHeader)
 		s.Stages <- "up"
+		s.flood(c)
 	case s.HoldAt == "header":
 		s.Stages <- "header"
 	default:
@@ -109,6 +114,19 @@
 	}
 }
 
+// flood writes Flood to a connection until that fails.
+func (s *XMPP) flood(c net.Conn) {
+	if s.Flood == "" {
+		return
+	}
+	for {
+		if _, err := io.WriteString(c, s.Flood); err != nil {
+			s.Stages <- "closed"
+			return
+		}
+	}
+}
+
 // answerStanza answers an iq with a result, and echoes any other stanza.
 func (s *XMPP) answerStanza(c net.Conn, start xml.StartElement) {
 	id := ""
--- a/internal/wire/splice/conn.go
+++ b/internal/wire/splice/conn.go
@@ -13,7 +13,7 @@
 	"capersail/internal/relay"
 )
 
-// WriteTimeout bounds every write. A connection whose peer does not read for this long is closed.
+// WriteTimeout bounds every write. A connection whose peer does not read for this long has failed.
 const WriteTimeout = time.Second
 
 const (
@@ -36,6 +36,8 @@
 	CancelDial func() // cancels the dial; nil if there is none
 	woken      bool
 	closed     bool
+	// writeErr is the error of a failed write, after which the peer may have received a part of a message.
+	writeErr error
 	// closeNowSignal is closed by CloseNow. It is nil until closeNowChannel is first called.
 	closeNowSignal chan struct{}
 	closingNow     bool
@@ -118,15 +120,28 @@
 	return c.closeNowSignal
 }
 
-// Forward writes p to the connection. It returns the error of the network connection unchanged.
+// Forward writes p to the connection. It returns the error of the network connection unchanged. After a failed
+// write the peer may have received a part of p, so nothing more is written: further calls return the same
+// error, and Close closes the connection with a reset.
 func (c *Conn) Forward(p []byte) error {
+	c.mu.Lock()
+	earlier := c.writeErr
+	c.mu.Unlock()
+	if earlier != nil {
+		return earlier
+	}
 	c.NetConn.SetWriteDeadline(c.Clock.WallDeadline(c.Clock.Now() + WriteTimeout))
 	_, err := c.NetConn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.writeErr = err
+		c.mu.Unlock()
+	}
 	return err
 }
 
-// Close closes the connection: gracefully, with a bounded wait for the peer to close, or with a reset. It is
-// idempotent. After a graceful close the goroutine that reads the connection must release the descriptor.
+// Close closes the connection: gracefully, with a bounded wait for the peer to close, or with a reset, as
+// always after a failed write. It is idempotent. After a graceful close the goroutine that reads the connection must release the descriptor.
 func (c *Conn) Close(how relay.CloseKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -140,7 +155,7 @@
 	halfCloser, ok := c.NetConn.(interface{ CloseWrite() error }) // implemented by TCP and TLS connections
 	switch {
 	case c.NetConn == nil:
-	case ok && how == relay.GracefulClose:
+	case ok && how == relay.GracefulClose && c.writeErr == nil:
 		halfCloser.CloseWrite()
 		if !c.closingNow {
 			c.NetConn.SetReadDeadline(c.Clock.WallDeadline(c.Clock.Now() + lingerTimeout))
--- a/internal/wire/splice/conn_test.go
+++ b/internal/wire/splice/conn_test.go
@@ -1,11 +1,13 @@
 package splice
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"capersail/decide"
@@ -133,3 +135,44 @@
 		}
 	}
 }
+
+// A write that timed out may have sent a part of a message. If anything followed it, the peer would read the two
+// as one message; and a graceful close would tell the peer that it had received everything.
+func TestNothingFollowsAFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, peer := net.Pipe()
+		c := &Conn{NetConn: own, Clock: relay.NewClock()}
+		received := make(chan string)
+		go func() {
+			part := make([]byte, 4)
+			io.ReadFull(peer, part)
+			<-time.After(WriteTimeout + time.Millisecond) // the peer does not read meanwhile
+			rest, _ := io.ReadAll(peer)
+			received <- string(part) + string(rest)
+		}()
+		if err := c.Forward([]byte("first message\n")); !TimedOut(err) {
+			t.Errorf("write to a peer that stopped reading: got error %v, want a time-out", err)
+		}
+		<-time.After(time.Second)
+		if err := c.Forward([]byte("second message\n")); !TimedOut(err) {
+			t.Errorf("write after one that timed out: got error %v, want the same", err)
+		}
+		c.Close(relay.GracefulClose)
+		if got := <-received; got != "firs" {
+			t.Errorf("peer received %q, want only the part of the first message", got)
+		}
+	})
+}
+
+// After a failed write, a graceful close must reset the connection.
+func TestFailedWriteIsClosedByReset(t *testing.T) {
+	c, peer := newPair(t)
+	c.NetConn.(*net.TCPConn).SetWriteBuffer(4096)
+	for c.Forward(make([]byte, 1<<20)) == nil {
+	}
+	c.Close(relay.GracefulClose)
+	peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.Copy(io.Discard, peer); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read after the close of a connection whose write failed: got error %v, want ECONNRESET", err)
+	}
+}
--- a/internal/wire/xmpp/server_dialer.go
+++ b/internal/wire/xmpp/server_dialer.go
@@ -19,10 +19,10 @@
 // relay.ServerDialer.
 type ServerDialer struct {
 	Clock          *relay.Clock
-	ConnectTimeout time.Duration // limit of a dial besides the attempt's deadline, and of a probe
-	ProbeHost      string        // the host named in the start tag of a probe
-	SilenceTimeout time.Duration // a server that confirms nothing for this long counts as lost
-	Log            zerolog.Logger
+	ConnectTimeout time.Duration  // limit of a dial besides the attempt's deadline, and of a probe
+	ProbeHost      string         // the host named in the start tag of a probe
+	SilenceTimeout time.Duration  // a server that confirms nothing for this long counts as lost
+	Log            zerolog.Logger // should be sampled, as clients cause its messages
 }
 
 // StartAttempt makes one attempt in a new goroutine, which ends with the attempt.
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -52,13 +52,29 @@
 			return a.endStream(noCondition, decide.Cancelled)
 		default:
 			a.lastConfirmedAt = a.dialer.Clock.Now()
-			if !a.takePong(it) && a.stream.write(it.raw) != nil {
+			if a.takePong(it) {
+				continue
+			}
+			if err := a.stream.write(it.raw); err != nil {
+				a.logLostClient(err)
 				return decide.Cancelled
 			}
 		}
 	}
 }
 
+// logLostClient logs that a write to the client failed because the client does not read.
+func (a *attempt) logLostClient(err error) {
+	if !splice.TimedOut(err) {
+		return
+	}
+	a.dialer.Log.Warn().
+		Str("to", a.stream.host).
+		Str("server", a.Server.ID).
+		Dur("timeout_ms", splice.WriteTimeout).
+		Msg("client does not read, its connection was reset; check the client and its network")
+}
+
 // forwardQueue forwards the client's queued items. While mustHoldQueue holds, the items stay queued unless
 // all is set. Errors are errors of the connection.
 func (a *attempt) forwardQueue(all bool) error {
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -29,15 +29,19 @@
 	clientHeader item   // the client's latest start tag
 	host         string // the host that the start tag names
 
-	mu          sync.Mutex // guards the fields below
+	// writeMu makes each write to the client complete before the next. It may be held for as long as a write
+	// takes, and is locked before mu.
+	writeMu     sync.Mutex
+	headerSent  bool   // a start tag has been sent to the client; guarded by writeMu
+	outcomeSent bool   // the outcome has been sent, or a write has failed; nothing follows; guarded by writeMu
+	features    string // the features sent to the client, "" if none were sent; guarded by writeMu
+
+	mu          sync.Mutex // guards the fields below; never held during a write
 	changed     *sync.Cond // signalled when the queue shrinks or the stream ends
 	queue       []item
 	queuedBytes int
 	ended       bool
-	headerSent  bool      // a start tag has been sent to the client
-	outcomeSent bool      // the outcome has been sent to the client; nothing is sent after it
 	condition   condition // overrides the stream error that follows from the request's answer
-	features    string    // the features sent to the client; "" if none were sent
 }
 
 func newStream(client *splice.Conn) *stream {
@@ -85,40 +89,54 @@
 	}
 }
 
-// write sends complete items to the client. After the outcome it returns net.ErrClosed.
+// write sends complete items to the client. After the outcome it returns net.ErrClosed. If it fails, it ends
+// the stream and closes the client's connection.
 func (st *stream) write(p []byte) error {
-	st.mu.Lock()
-	defer st.mu.Unlock()
+	st.writeMu.Lock()
+	defer st.writeMu.Unlock()
 	if st.outcomeSent {
 		return net.ErrClosed
 	}
 	st.headerSent = true
-	return st.client.Forward(p)
+	return st.forward(p)
+}
+
+// forward writes to the client. If the write fails, the client is gone or does not read, and the last item
+// that it received may be incomplete: then the stream ends without an outcome, and the connection is reset.
+// That also ends the client's goroutine, which may wait for the client to send something. The caller holds
+// writeMu.
+func (st *stream) forward(p []byte) error {
+	err := st.client.Forward(p)
+	if err != nil {
+		st.outcomeSent = true
+		st.client.Close(relay.AbortiveClose)
+		st.markEnded()
+	}
+	return err
 }
 
 // sendFeatures sends the client a server's start tag and features. Only the first call sends them. A retry at
 // another server must have the same features, otherwise sendFeatures returns false: the client may have
 // chosen its SASL mechanism from the first ones.
 func (st *stream) sendFeatures(header, features string) bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
+	st.writeMu.Lock()
+	defer st.writeMu.Unlock()
 	if st.features != "" {
 		return st.features == features
 	}
 	st.features, st.headerSent = features, true
-	return !st.outcomeSent && st.client.Forward([]byte(xmlDeclaration+header+features)) == nil
+	return !st.outcomeSent && st.forward([]byte(xmlDeclaration+header+features)) == nil
 }
 
 // sendOutcome sends the client the outcome of its stream, once: the stream's end tag, preceded by a stream
 // error if there is a condition. extraChild is a further child element of the error, or "".
 func (st *stream) sendOutcome(c condition, extraChild string) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
+	st.writeMu.Lock()
+	defer st.writeMu.Unlock()
 	if st.outcomeSent {
 		return
 	}
-	st.outcomeSent, st.ended = true, true
-	st.changed.Broadcast()
+	st.outcomeSent = true
 	var b strings.Builder
 	if !st.headerSent {
 		b.WriteString(xmlDeclaration + encodeHeader(st.host))
@@ -127,7 +145,8 @@
 		fmt.Fprintf(&b, "<stream:error><%s xmlns='%s'/>%s</stream:error>", c, errorsNamespace, extraChild)
 	}
 	b.WriteString(streamEndTag)
-	st.client.Forward([]byte(b.String()))
+	st.forward([]byte(b.String()))
+	st.markEnded() // not earlier, as the client's goroutine then closes the connection
 }
 
 // awaitEnd blocks until the stream has ended.
