Let only the server's confirmations stop the silence timer of an XMPP stream

Cause: lastConfirmedAt stood for two instants: when the server last confirmed a stanza, and when it last said anything. Each alert moved it on, so the time of the first ping (a fifth of silent_ms without a word) never came, nothing was ever confirmed, and at 64 unconfirmed stanzas forwarding paused. For the same reason a server that only talked was never found silent, and after a storm everything since its begin was returned as undelivered, answered or not.

Fix: deliveries, a state machine without I/O, tracks what has been written and what is confirmed. A ping is due when the oldest unconfirmed stanza is a fifth of silent_ms old, whatever the server pushes, or when half of the limit is used, so that a prompt server confirms a burst before forwarding pauses. The answer to a ping, or to an iq of the client, confirms all that was written before it (RFC 6120, 10.1); nothing else does. The server is lost when it has confirmed nothing for silent_ms. Time in which a write to a slow client is blocked does not count, as the server's answer may wait behind it; without that rule TestSlowClientDoesNotMakeServerLost fails.

The tests failed before: silence_test.go:57: 13s after the start the server has 64 stanzas of the client, want 65 silence_test.go:77: 20 ms after a burst the server has 64 stanzas of it, want 300 silence_test.go:98: before the silence timeout: stream ended false, 0 pings, want false and 1 silence_test.go:125: stream ended false, 64 of 200 stanzas at the server; want it open with all silence_test.go:174: client got 41 queries back, 1 times the unanswered one; want 1 and 1 TestSlowClientDoesNotMakeServerLost hung before, as the queue's lock was held during writes.

--- a/internal/wire/xmpp/handshake.go
+++ b/internal/wire/xmpp/handshake.go
@@ -16,10 +16,8 @@
 	stream *stream
 	reader *itemReader
 
-	unconfirmed     []item        // written to the server, which has not confirmed them yet
-	lastConfirmedAt time.Duration // when the oldest of them was written or the server last sent something
-	pingCovers      int           // how many of them were written before the unanswered ping; 0 without one
-	pingsSent       int
+	deliveries      deliveries
+	clientWriteTime time.Duration // time spent in writes to the client
 }
 
 // runProtocol runs the attempt until it is over. It returns no load report: load reports come from the
--- a/internal/wire/xmpp/piped_stream_test.go
+++ b/internal/wire/xmpp/piped_stream_test.go
@@ -1,10 +1,12 @@
 package xmpp
 
 import (
-	"bytes"
 	"encoding/xml"
+	"fmt"
 	"io"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +25,8 @@
 // without buffers: a write blocks until the peer has read it. It must be used in a synctest bubble.
 type pipedStream struct {
 	t       *testing.T
-	client  net.Conn
-	server  net.Conn
+	client  *peer
+	server  *peer
 	request *relay.Request
 	began   time.Time
 	// status receives the status of the attempt when it ends.
@@ -68,9 +70,12 @@
 		t.Fatal("the attempt was not established")
 	}
 	p := &pipedStream{
-		t: t, client: client, server: server, request: request,
-		began:  time.Now(),
-		status: make(chan decide.Status, 1),
+		t:       t,
+		client:  newPeer(client),
+		server:  newPeer(server),
+		request: request,
+		began:   time.Now(),
+		status:  make(chan decide.Status, 1),
 	}
 	go p.runClientSide(&Frontend{Limiter: connlimit.New(clock, 1, zerolog.Nop())}, st)
 	go p.runServerSide(current)
@@ -93,24 +98,69 @@
 	p.status <- status
 }
 
-// peer is an end of a stream that a test plays. It reads all that comes, and notes the elements.
+// peer is an end of a stream that a test plays.
 type peer struct {
-	t        *testing.T
-	conn     net.Conn
+	conn   net.Conn
+	outbox chan string   // texts to be written, so that a peer that reads never waits for its own writes
+	done   chan struct{} // closed by close
+
+	mu       sync.Mutex
 	received []xml.StartElement
 	ended    bool // the stream's end tag or the connection's end has been read
 }
 
-// readAll makes a peer read a connection until it ends, and calls handle with each element.
-func readAll(t *testing.T, conn net.Conn, handle func(*peer, xml.StartElement)) *peer {
-	p := &peer{t: t, conn: conn}
+// maxOutbox is how many texts a peer may have to write.
+const maxOutbox = 1000
+
+// newPeer returns a peer that writes what is sent, and reads nothing before readAll.
+func newPeer(conn net.Conn) *peer {
+	p := &peer{conn: conn, outbox: make(chan string, maxOutbox), done: make(chan struct{})}
 	go func() {
-		in := io.MultiReader(bytes.NewReader([]byte(encodeHeader("s"))), conn)
-		decoder := xml.NewDecoder(in)
+		for {
+			select {
+			case text := <-p.outbox:
+				io.WriteString(conn, text) // fails once the connection is closed
+			case <-p.done:
+				return
+			}
+		}
+	}()
+	return p
+}
+
+// send writes a text after those sent before, without waiting for it.
+func (p *peer) send(format string, args ...any) { p.outbox <- fmt.Sprintf(format, args...) }
+
+// sendEvery sends a number of texts, one at each interval.
+func (p *peer) sendEvery(interval time.Duration, count int, text func(i int) string) {
+	go func() {
+		for i := range count {
+			p.send("%s", text(i))
+			select {
+			case <-time.After(interval):
+			case <-p.done:
+				return
+			}
+		}
+	}()
+}
+
+// close closes the connection.
+func (p *peer) close() {
+	close(p.done)
+	p.conn.Close()
+}
+
+// readAll makes the peer read until the stream ends, and calls handle, which may be nil, with each element.
+func (p *peer) readAll(handle func(xml.StartElement)) {
+	go func() {
+		decoder := xml.NewDecoder(io.MultiReader(strings.NewReader(encodeHeader("s")), p.conn))
 		for {
 			token, err := decoder.Token()
 			if _, end := token.(xml.EndElement); end || err != nil {
+				p.mu.Lock()
 				p.ended = true
+				p.mu.Unlock()
 				return
 			}
 			start, ok := token.(xml.StartElement)
@@ -118,17 +168,20 @@
 				continue
 			}
 			decoder.Skip()
+			p.mu.Lock()
 			p.received = append(p.received, start)
+			p.mu.Unlock()
 			if handle != nil {
-				handle(p, start)
+				handle(start)
 			}
 		}
 	}()
-	return p
 }
 
 // count returns how many elements with a name, type and id were received; "" stands for any.
 func (p *peer) count(name, kind, id string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, e := range p.received {
 		matches := (name == "" || e.Name.Local == name) &&
 			(kind == "" || attributeOf(e, "type") == kind) && (id == "" || attributeOf(e, "id") == id)
@@ -139,6 +192,13 @@
 	return n
 }
 
+// hasEnded reports whether the peer has read the end of the stream or of its connection.
+func (p *peer) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 func attributeOf(e xml.StartElement, name string) string {
 	for _, a := range e.Attr {
 		if a.Name.Local == name {
@@ -149,10 +209,7 @@
 }
 
 // isPing reports whether an element is a ping of the relay.
-func isPing(e xml.StartElement) bool {
-	id := attributeOf(e, "id")
-	return len(id) > len("capersail-") && id[:len("capersail-")] == "capersail-"
-}
+func isPing(e xml.StartElement) bool { return strings.HasPrefix(attributeOf(e, "id"), "capersail-") }
 
 // pass lets time pass on the bubble's clock until both sides of the relay wait.
 func pass(d time.Duration) {
@@ -180,7 +237,7 @@
 
 // close ends the stream from both peers, so that no goroutine of the relay is left in the bubble.
 func (p *pipedStream) close() {
-	p.client.Close()
-	p.server.Close()
+	p.client.close()
+	p.server.close()
 	synctest.Wait()
 }
--- a/internal/wire/xmpp/stalled_client_test.go
+++ b/internal/wire/xmpp/stalled_client_test.go
@@ -1,7 +1,6 @@
 package xmpp
 
 import (
-	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -20,18 +19,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := newPipedStream(t)
 				defer p.close()
-				readAll(t, p.server, nil)
-				go func() {
-					for i := range sends {
-						fmt.Fprintf(p.client, "<message id='c%d'/>", i)
-					}
-				}()
-				go fmt.Fprint(p.server, "<message id='m1'/><message id='m2'/>")
+				p.server.readAll(nil)
+				p.client.sendEvery(0, sends, message)
+				p.server.send("%s", alert+alert)
 				pass(splice.WriteTimeout + time.Millisecond)
 				p.checkEnded(decide.Cancelled)
 				got := make(chan error, 1)
 				go func() {
-					_, err := io.Copy(io.Discard, p.client)
+					_, err := io.Copy(io.Discard, p.client.conn)
 					got <- err
 				}()
 				select {
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -10,19 +10,16 @@
 	"capersail/internal/wire/splice"
 )
 
-// A server that confirms nothing is sent a ping after 1/5 of SilenceTimeout. From 2/5 of SilenceTimeout
-// without an answer to the ping, no more stanzas are forwarded to it. At SilenceTimeout it counts as lost.
-const (
-	pingAfterParts      = 1
-	pingOverdueParts    = 2
-	silenceTimeoutParts = 5
-)
-
 // forwardStanzas forwards stanzas until one side closes or the client is migrated. Nothing else writes to
 // either connection, so what it adds never splits a stanza.
 func (a *attempt) forwardStanzas() decide.Status {
+	a.deliveries.pingPrefix = fmt.Sprintf("capersail-%d-", a.Request.ID)
+	a.deliveries.silenceTimeout = a.dialer.SilenceTimeout
 	for {
-		if a.forwardQueue(false) != nil {
+		if a.deliveries.serverLost(a.listeningTime()) {
+			return a.endStream(connectionTimeout, decide.Reset)
+		}
+		if a.forwardQueue(false) != nil || a.pingIfDue() != nil {
 			return a.endStream(remoteConnectionFailed, decide.Reset)
 		}
 		it, err := a.readItem(a.nextSilenceCheck())
@@ -34,14 +31,7 @@
 		case woken && a.Conn.Closed():
 			a.Conn.Forward([]byte(streamEndTag))
 			return decide.Cancelled
-		case woken:
-		case splice.TimedOut(err):
-			if a.dialer.Clock.Now()-a.lastConfirmedAt >= a.dialer.SilenceTimeout {
-				return a.endStream(connectionTimeout, decide.Reset)
-			}
-			if a.sendPing() != nil {
-				return a.endStream(remoteConnectionFailed, decide.Reset)
-			}
+		case woken || splice.TimedOut(err):
 		case err != nil:
 			return a.endStream(remoteConnectionFailed, decide.Reset)
 		case it.kind == streamEnd:
@@ -51,99 +41,71 @@
 			a.stream.write(it.raw)
 			return a.endStream(noCondition, decide.Cancelled)
 		default:
-			a.lastConfirmedAt = a.dialer.Clock.Now()
-			if a.takePong(it) {
-				continue
-			}
-			if err := a.stream.write(it.raw); err != nil {
-				a.logLostClient(err)
+			if a.forwardToClient(it) != nil {
 				return decide.Cancelled
 			}
 		}
 	}
 }
 
-// logLostClient logs that a write to the client failed because the client does not read.
-func (a *attempt) logLostClient(err error) {
-	if !splice.TimedOut(err) {
-		return
+// listeningTime returns the instant of a clock that stands still while a write to the client is blocked. The
+// server's answer may wait behind that write, so the time does not count as silence of the server.
+func (a *attempt) listeningTime() time.Duration { return a.dialer.Clock.Now() - a.clientWriteTime }
+
+// nextSilenceCheck returns the instant of the relay's clock at which the server must be checked for silence;
+// 0 means never.
+func (a *attempt) nextSilenceCheck() time.Duration {
+	at := a.deliveries.nextCheck()
+	if at == 0 {
+		return 0
+	}
+	return at + a.clientWriteTime
+}
+
+// forwardToClient forwards an item of the server to the client, unless it answers a ping of the relay. An
+// error means that the stream has ended at the client.
+func (a *attempt) forwardToClient(it item) error {
+	if a.deliveries.recordReceived(it, a.listeningTime()) {
+		return nil
+	}
+	began := a.dialer.Clock.Now()
+	err := a.stream.write(it.raw)
+	a.clientWriteTime += a.dialer.Clock.Now() - began
+	if splice.TimedOut(err) {
+		a.dialer.Log.Warn().
+			Str("to", a.stream.host).
+			Str("server", a.Server.ID).
+			Dur("timeout_ms", splice.WriteTimeout).
+			Msg("client does not read, its connection was reset; check the client and its network")
 	}
-	a.dialer.Log.Warn().
-		Str("to", a.stream.host).
-		Str("server", a.Server.ID).
-		Dur("timeout_ms", splice.WriteTimeout).
-		Msg("client does not read, its connection was reset; check the client and its network")
+	return err
 }
 
-// forwardQueue forwards the client's queued items. While mustHoldQueue holds, the items stay queued unless
-// all is set. Errors are errors of the connection.
+// forwardQueue forwards the client's queued items. While the server must confirm others first, the items stay
+// queued unless all is set. Errors are errors of the connection.
 func (a *attempt) forwardQueue(all bool) error {
 	for {
-		now := a.dialer.Clock.Now()
-		if !all && a.mustHoldQueue(now) {
+		now := a.listeningTime()
+		if !all && a.deliveries.mustPause(now) {
 			return nil
 		}
 		it, ok := a.stream.pop()
 		if !ok {
 			return nil
 		}
-		if len(a.unconfirmed) == 0 {
-			a.lastConfirmedAt = now
-		}
-		a.unconfirmed = append(a.unconfirmed, it)
+		a.deliveries.recordWrite(it, now)
 		if err := a.Conn.Forward(it.raw); err != nil { // a partly written stanza is bounced too
 			return err
 		}
 	}
 }
 
-// mustHoldQueue reports whether forwarding must wait for the server to confirm items: a ping is overdue or
-// too many items are unconfirmed.
-func (a *attempt) mustHoldQueue(now time.Duration) bool {
-	overdue := a.dialer.SilenceTimeout * pingOverdueParts / silenceTimeoutParts
-	pingLate := a.pingCovers > 0 && now-a.lastConfirmedAt >= overdue
-	return pingLate || len(a.unconfirmed) >= maxQueuedItems || totalBytes(a.unconfirmed) >= maxQueuedBytes
-}
-
-func totalBytes(items []item) (n int) {
-	for _, it := range items {
-		n += len(it.raw)
-	}
-	return n
-}
-
-// nextSilenceCheck returns the time at which the server must be checked for silence; 0 means never.
-func (a *attempt) nextSilenceCheck() time.Duration {
-	switch {
-	case len(a.unconfirmed) == 0:
-		return 0
-	case a.pingCovers > 0:
-		return a.lastConfirmedAt + a.dialer.SilenceTimeout
-	default:
-		return a.lastConfirmedAt + a.dialer.SilenceTimeout*pingAfterParts/silenceTimeoutParts
+// pingIfDue sends the server a ping if one is due. Errors are errors of the connection.
+func (a *attempt) pingIfDue() error {
+	if !a.deliveries.pingDue(a.listeningTime()) {
+		return nil
 	}
-}
-
-// sendPing sends the server a ping (XEP-0199). A server processes stanzas in order, so the answer confirms
-// all stanzas sent before the ping. Errors are errors of the connection.
-func (a *attempt) sendPing() error {
-	a.pingsSent++
-	a.pingCovers = len(a.unconfirmed)
-	ping := fmt.Sprintf("<iq type='get' id='%s'><ping xmlns='urn:xmpp:ping'/></iq>", a.pingID())
-	return a.Conn.Forward([]byte(ping))
-}
-
-// pingID returns the id of the latest ping.
-func (a *attempt) pingID() string { return fmt.Sprintf("capersail-%d-%d", a.Request.ID, a.pingsSent) }
-
-// takePong handles the answer to the relay's ping and returns whether the item is one. An error answer
-// confirms as much as a result.
-func (a *attempt) takePong(it item) bool {
-	if it.name != "iq" || a.pingCovers == 0 || it.attrs["id"] != a.pingID() {
-		return false
-	}
-	a.unconfirmed, a.pingCovers = a.unconfirmed[a.pingCovers:], 0
-	return true
+	return a.Conn.Forward(a.deliveries.nextPing())
 }
 
 // endStream ends a stream whose server is lost, silent or has closed it. Unconfirmed and queued stanzas are
@@ -151,9 +113,11 @@
 func (a *attempt) endStream(c condition, status decide.Status) decide.Status {
 	// Before the client sees the end of its stream, after which its goroutine reports a close by the client.
 	a.Request.ServerClosed()
-	bounced := a.unconfirmed
-	if status == decide.OK || status == decide.Cancelled { // it had processed what it read
-		bounced = nil
+	var bounced []item
+	if status != decide.OK && status != decide.Cancelled { // else it had processed what it read
+		for _, sent := range a.deliveries.unconfirmed {
+			bounced = append(bounced, sent.item)
+		}
 	}
 	for it, ok := a.stream.pop(); ok; it, ok = a.stream.pop() {
 		if it.kind == streamEnd {
@@ -174,7 +138,7 @@
 // migrate forwards what the client has sent so far and then ends its stream with the condition reset, so that
 // the client opens it again.
 func (a *attempt) migrate(serverSilent bool) decide.Status {
-	if serverSilent || a.pingCovers > 0 || a.forwardQueue(true) != nil {
+	if serverSilent || a.deliveries.awaitsPing() || a.forwardQueue(true) != nil {
 		return a.endStream(resetCondition, decide.Reset)
 	}
 	a.Conn.Forward([]byte(streamEndTag))
