Do not take a ping in flight for a silent server when an XMPP client is migrated

What callers saw: a client that was migrated within the round trip of a ping got back as undelivered all that it had sent since the ping before, though its server had processed it: two outcomes for one stanza.

A ping is on its way each second of a stream that sends.

Fix: migrate asks whether the ping is late, which is what holds stanzas back as well.

The test failed before: silence_test.go:196: client got 3 stanzas back and 1 stream errors, want 0 and 1

--- a/internal/wire/xmpp/silence_test.go
+++ b/internal/wire/xmpp/silence_test.go
@@ -175,3 +175,25 @@
 		}
 	})
 }
+
+// A ping that was sent a moment ago does not make its server silent. When the client was migrated just then, all
+// that it had sent came back as undelivered, though the server had processed it.
+func TestMigrationDuringPingReturnsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipedStream(t)
+		defer p.close()
+		p.server.readAll(func(e xml.StartElement) {
+			if isPing(e) {
+				p.request.MigrateClient()
+			}
+		})
+		p.client.readAll(nil)
+		p.client.sendEvery(0, 3, message)
+		pass(testSilenceTimeout / 2)
+		p.checkEnded(decide.Cancelled)
+		returned, conditions := p.client.count("message", "error", ""), p.client.count("error", "", "")
+		if returned != 0 || conditions != 1 {
+			t.Errorf("client got %d stanzas back and %d stream errors, want 0 and 1", returned, conditions)
+		}
+	})
+}
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -138,7 +138,7 @@
 // migrate forwards what the client has sent so far and then ends its stream with the condition reset, so that
 // the client opens it again.
 func (a *attempt) migrate(serverSilent bool) decide.Status {
-	if serverSilent || a.deliveries.awaitsPing() || a.forwardQueue(true) != nil {
+	if serverSilent || a.deliveries.pingLate(a.listeningTime()) || a.forwardQueue(true) != nil {
 		return a.endStream(resetCondition, decide.Reset)
 	}
 	a.Conn.Forward([]byte(streamEndTag))
