Forward a stanza that was read before an XMPP client is migrated

What callers saw: a stanza of the server that was read in the moment in which the migration began never came to the client, nor did the server learn of it.

Cause: forwardStanzas looked for a migration after each read and dropped what the read had returned.

Fix: the check only follows a read without an item. A migration wakes the connection, so the next read returns at once.

The test failed before: silence_test.go:214: client got 1 of 3 stanzas that were read before its migration, want all

--- a/internal/wire/xmpp/silence_test.go
+++ b/internal/wire/xmpp/silence_test.go
@@ -197,3 +197,21 @@
 		}
 	})
 }
+
+// A migration that begins while a stanza of the server is being read must not drop that stanza.
+func TestMigrationDropsNoStanza(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipedStream(t)
+		defer p.close()
+		p.server.readAll(nil)
+		p.server.send("%s", strings.Repeat(alert, 3)) // read at once, and the first is being written
+		synctest.Wait()
+		p.request.MigrateClient()
+		p.client.readAll(nil)
+		synctest.Wait()
+		p.checkEnded(decide.Cancelled)
+		if got := p.client.count("message", "headline", ""); got != 3 {
+			t.Errorf("client got %d of 3 stanzas that were read before its migration, want all", got)
+		}
+	})
+}
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -23,7 +23,8 @@
 			return a.endStream(remoteConnectionFailed, decide.Reset)
 		}
 		it, err := a.readItem(a.nextSilenceCheck())
-		if migrating, serverSilent := a.Request.Migrating(); migrating {
+		// An item that was read is forwarded first. The next read is interrupted by the migration.
+		if migrating, serverSilent := a.Request.Migrating(); migrating && err != nil {
 			return a.migrate(serverSilent)
 		}
 		woken := errors.Is(err, errWoken)
