--- a/internal/testing/fake/xmpp.go
+++ b/internal/testing/fake/xmpp.go
@@ -15,8 +15,8 @@
 	// HoldAt is the stage from which the server no longer answers a connection: "header", "auth", or "" for
 	// none.
 	HoldAt string
-	// Flood is written to each connection over and over from its stage "up" on, until the peer closes it. "" for
-	// nothing. It must be set before the first client connects.
+	// Flood is written to each connection over and over from its stage "up" on, until the peer closes it; ""
+	// for nothing. It must be set before the first client connects.
 	Flood string
 	// Stages receives one entry per stage of a connection: "header", "auth", "up", and "message ID" for each
 	// stanza; "closed" once a connection that is flooded is closed.
--- a/internal/wire/platform/frontend.go
+++ b/internal/wire/platform/frontend.go
@@ -206,9 +206,11 @@
 				return
 			}
 			request.LineSent()
-			if splice.TimedOut(server.Forward(line)) { // the server does not read, and may have got a part of the line
+			// A server that does not read may have got a part of the line. Any other error also reaches the
+			// server side, which closes both connections.
+			if splice.TimedOut(server.Forward(line)) {
 				request.MigrateClient()
-			} // any other error also reaches the server side, which closes both connections
+			}
 		case splice.TimedOut(err):
 			half.ClearWake()
 			if state, _ := request.State(); state == relay.Ended || half.Closed() {
--- a/internal/wire/platform/stalled_server_test.go
+++ b/internal/wire/platform/stalled_server_test.go
@@ -24,8 +24,8 @@
 func (c *attemptCatcher) Probe(relay.Server, func(decide.Status, decide.LoadReport)) {}
 
 // A write to a server that does not read times out in the middle of a line, while the server's side of the
-// connection sees no error. The client must be migrated then: what it sent next followed the partial line, and
-// the server took both for one.
+// connection sees no error. The client must be migrated then: what it sent next followed the partial line,
+// and the server took both for one.
 func TestServerThatDoesNotReadLosesItsClient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := relay.NewClock()
--- a/internal/wire/splice/conn.go
+++ b/internal/wire/splice/conn.go
@@ -120,9 +120,9 @@
 	return c.closeNowSignal
 }
 
-// Forward writes p to the connection. It returns the error of the network connection unchanged. After a failed
-// write the peer may have received a part of p, so nothing more is written: further calls return the same
-// error, and Close closes the connection with a reset.
+// Forward writes p to the connection. It returns the error of the network connection unchanged. After a
+// failed write the peer may have received a part of p, so nothing more is written: further calls return the
+// same error, and Close closes the connection with a reset.
 func (c *Conn) Forward(p []byte) error {
 	c.mu.Lock()
 	earlier := c.writeErr
@@ -141,7 +141,8 @@
 }
 
 // Close closes the connection: gracefully, with a bounded wait for the peer to close, or with a reset, as
-// always after a failed write. It is idempotent. After a graceful close the goroutine that reads the connection must release the descriptor.
+// always after a failed write. It is idempotent. After a graceful close the goroutine that reads the
+// connection must release the descriptor.
 func (c *Conn) Close(how relay.CloseKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wire/splice/conn_test.go
+++ b/internal/wire/splice/conn_test.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// A write that timed out may have sent a part of a message. If anything followed it, the peer would read the two
-// as one message; and a graceful close would tell the peer that it had received everything.
+// A write that timed out may have sent a part of a message. If anything followed it, the peer would read the
+// two as one message; and a graceful close would tell the peer that it had received everything.
 func TestNothingFollowsAFailedWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		own, peer := net.Pipe()
@@ -173,6 +173,6 @@
 	c.Close(relay.GracefulClose)
 	peer.SetReadDeadline(time.Now().Add(10 * time.Second))
 	if _, err := io.Copy(io.Discard, peer); !errors.Is(err, syscall.ECONNRESET) {
-		t.Errorf("read after the close of a connection whose write failed: got error %v, want ECONNRESET", err)
+		t.Errorf("read after the close that follows a failed write: got error %v, want ECONNRESET", err)
 	}
 }
--- a/internal/wire/xmpp/deliveries.go
+++ b/internal/wire/xmpp/deliveries.go
@@ -134,7 +134,8 @@
 func (d *deliveries) nextPing() []byte {
 	d.pings++
 	d.pingCovers = d.written
-	return fmt.Appendf(nil, "<iq type='get' id='%s%d'><ping xmlns='urn:xmpp:ping'/></iq>", d.pingPrefix, d.pings)
+	return fmt.Appendf(nil, "<iq type='get' id='%s%d'><ping xmlns='urn:xmpp:ping'/></iq>",
+		d.pingPrefix, d.pings)
 }
 
 // pingLate reports whether a ping should have been answered by now.
--- a/internal/wire/xmpp/silence_test.go
+++ b/internal/wire/xmpp/silence_test.go
@@ -54,8 +54,8 @@
 		for i := range count {
 			pass(interval)
 			if got := p.server.count("message", "", ""); got < i+1 {
-				t.Fatalf("%v after the start the server has %d stanzas of the client, want %d", time.Since(p.began),
-					got, i+1)
+				t.Fatalf("%v after the start the server has %d stanzas of the client, want %d",
+					time.Since(p.began), got, i+1)
 			}
 		}
 		if got := p.client.count("", "error", ""); got != 0 {
@@ -79,8 +79,8 @@
 	})
 }
 
-// A server that goes on talking and confirms nothing must count as lost at the silence timeout, neither later nor
-// never: what its client has sent must be returned.
+// A server that goes on talking and confirms nothing must count as lost at the silence timeout, neither later
+// nor never: what its client has sent must be returned.
 func TestServerThatOnlyTalksIsLost(t *testing.T) {
 	for name, alerts := range map[string]bool{"talks": true, "is silent": false} {
 		t.Run(name, func(t *testing.T) {
@@ -94,16 +94,17 @@
 				}
 				p.client.sendEvery(0, 3, message)
 				pass(testSilenceTimeout - time.Millisecond)
-				if p.client.hasEnded() || p.server.count("iq", "get", "") != 1 {
-					t.Errorf("before the silence timeout: stream ended %v, %d pings, want false and 1", p.client.hasEnded(),
-						p.server.count("iq", "get", ""))
+				if pings := p.server.count("iq", "get", ""); p.client.hasEnded() || pings != 1 {
+					t.Errorf("before the silence timeout: stream ended %v, %d pings, want false and 1",
+						p.client.hasEnded(), pings)
 				}
 				pass(alertInterval)
 				p.checkEnded(decide.Reset)
 				returned := p.client.count("message", "error", "")
-				if conditions := p.client.count("error", "", ""); !p.client.hasEnded() || returned != 3 || conditions != 1 {
-					t.Errorf("after the silence timeout: stream ended %v, %d stanzas returned, %d stream errors; "+
-						"want true, 3, 1", p.client.hasEnded(), returned, conditions)
+				conditions := p.client.count("error", "", "")
+				if !p.client.hasEnded() || returned != 3 || conditions != 1 {
+					t.Errorf("after the silence timeout: stream ended %v, %d stanzas returned, "+
+						"%d stream errors; want true, 3, 1", p.client.hasEnded(), returned, conditions)
 				}
 			})
 		})
@@ -122,7 +123,8 @@
 		p.client.sendEvery(alertInterval, 200, message)
 		pass(stormLength)
 		if got := p.server.count("message", "", ""); p.client.hasEnded() || got != 200 {
-			t.Errorf("stream ended %v, %d of 200 stanzas at the server; want it open with all", p.client.hasEnded(), got)
+			t.Errorf("stream ended %v, %d of 200 stanzas at the server; want it open with all",
+				p.client.hasEnded(), got)
 		}
 	})
 }
@@ -170,14 +172,15 @@
 		if got := p.client.count("iq", "result", ""); got != 40 {
 			t.Errorf("client got %d answers, want 40", got)
 		}
-		if all, last := p.client.count("iq", "error", ""), p.client.count("iq", "error", unanswered); all != 1 || last != 1 {
+		all, last := p.client.count("iq", "error", ""), p.client.count("iq", "error", unanswered)
+		if all != 1 || last != 1 {
 			t.Errorf("client got %d queries back, %d times the unanswered one; want 1 and 1", all, last)
 		}
 	})
 }
 
-// A ping that was sent a moment ago does not make its server silent. When the client was migrated just then, all
-// that it had sent came back as undelivered, though the server had processed it.
+// A ping that was sent a moment ago does not make its server silent. When the client was migrated just then,
+// all that it had sent came back as undelivered, though the server had processed it.
 func TestMigrationDuringPingReturnsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPipedStream(t)
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -33,7 +33,7 @@
 	// takes, and is locked before mu.
 	writeMu     sync.Mutex
 	headerSent  bool   // a start tag has been sent to the client; guarded by writeMu
-	outcomeSent bool   // the outcome has been sent, or a write has failed; nothing follows; guarded by writeMu
+	outcomeSent bool   // the outcome has been sent, or a write has failed; guarded by writeMu
 	features    string // the features sent to the client, "" if none were sent; guarded by writeMu
 
 	mu          sync.Mutex // guards the fields below; never held during a write
--- a/plugin/conn.go
+++ b/plugin/conn.go
@@ -29,7 +29,7 @@
 	woken        bool      // wake has been called
 	draining     bool      // a GOAWAY must be inserted, unless goAwaySent
 	readDeadline time.Time // set by gRPC; the zero time means none
-	interrupting bool      // the connection's read deadline is not readDeadline, but interrupts the pending read
+	interrupting bool      // the connection's read deadline interrupts the pending read instead
 	goAwaySent   bool
 	injected     []byte // the part of the inserted GOAWAY that has not been read yet
 	drainTimer   *time.Timer
