--- /dev/null
+++ b/review/standin2/xmppdrain.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	listUnreachable = 16 * time.Second // BRIEF, Troubles so far: out of reach for 8.6 to 24 s
+	notifiedWithin  = 6 * time.Second  // PROTOCOL, Figures: counts as told 6 s later at the latest
+	drainGrace      = 500 * time.Millisecond
+	socketSlack     = 50 * time.Millisecond // PROTOCOL: every time limit is 50 ms longer
+)
+
+// xmppDrainCase drains a server while the registry of the XMPP front is out of reach.
+func xmppDrainCase(h *harness) {
+	const path = "/alerts/servers"
+	zk := h.newRegistry(path)
+	link := h.newProxy(zk.address)
+	var mu sync.Mutex
+	var toldAt time.Time // when the relay counts as told of the drain; zero before
+	var servers []*xmppServer
+	for i := range 3 {
+		s := h.newXMPPServer(fmt.Sprintf("s-%d", i))
+		servers = append(servers, s)
+		zk.set(path+"/"+s.id, s.node("Ready"))
+	}
+	draining := servers[0]
+	lateStreams := 0
+	draining.onAuth = func(connectedAt time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !toldAt.IsZero() && connectedAt.After(toldAt.Add(drainGrace+socketSlack)) {
+			lateStreams++
+			h.breaks("server %s got a new stream %.2f s after the relay counts as told that it drains",
+				draining.id, connectedAt.Sub(toldAt).Seconds())
+		}
+	}
+	address := h.freeAddress()
+	config := h.writeFile("xmpp.toml", xmppConfig(address, link.address))
+	h.startRelay("n1", "--xmpp "+config, nil, "TMPDIR="+h.dir)
+	ready := false
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !ready; time.Sleep(50 * time.Millisecond) {
+		if s, outcome := h.openXMPP(address, 2*time.Second); outcome == "established" {
+			s.close()
+			ready = true
+		}
+	}
+	if !ready {
+		h.cannotRun("no stream was established within 10 s of the start")
+	}
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	clients.Go(func() {
+		for {
+			clients.Go(func() {
+				s, outcome := h.openXMPP(address, 9*time.Second)
+				h.logf("stream %d: %s at %s", s.number, outcome, s.server)
+				if outcome == "established" {
+					time.Sleep(3 * time.Second)
+					s.close()
+				}
+			})
+			select {
+			case <-stop:
+				return
+			case <-time.After(250 * time.Millisecond):
+			}
+		}
+	})
+	time.Sleep(4 * time.Second)
+	silentAt := time.Now()
+	if h.trouble {
+		link.setSilent(true)
+		h.logf("registry out of reach: what it sends is lost, new connections get no answer")
+	}
+	time.Sleep(time.Second)
+	zk.set(path+"/"+draining.id, draining.node("Terminating"))
+	h.logf("server %s drains (lifecycle Terminating)", draining.id)
+	mu.Lock()
+	toldAt = time.Now()
+	if h.trouble {
+		toldAt = silentAt.Add(time.Second + notifiedWithin)
+	}
+	mu.Unlock()
+	time.Sleep(listUnreachable - time.Second)
+	if h.trouble {
+		link.setSilent(false)
+		h.logf("registry in reach again")
+	}
+	time.Sleep(2 * time.Second)
+	close(stop)
+	clients.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	h.logf("%d new streams at the draining server after the grace", lateStreams)
+}
