Teach the review's stand-ins the entries' cases, and let drained servers stop

Done: a discovery that is crowded or moves, servers that stop or send their clients away, a SASL challenge.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,8 @@
 	"xmpp-drain":  xmppDrainCase,
 	"xmpp-silent": xmppSilentCase,
 	"xmpp-held":   xmppHeldCase,
+	"reload":      reloadCase,
+	"xmpp-twice":  xmppTwiceCase,
 }
 
 func main() {
@@ -50,7 +52,7 @@
 		began:   time.Now(),
 		record:  record,
 	}
-	h.logf("case %s, trouble %v", os.Args[1], h.trouble)
+	h.logf("case %s, trouble %v, seed of the relays %016x", os.Args[1], h.trouble, relaySeed)
 	time.AfterFunc(110*time.Second, func() { h.cannotRun("took over 110 s") })
 	cases[os.Args[1]](h)
 	h.verdict()
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -15,7 +16,9 @@
 
 // discovery is the platform's discovery service.
 type discovery struct {
-	address string
+	address  string
+	listener net.Listener
+	crowded  atomic.Bool // calls wait for callWait and end with 503
 
 	mu         sync.Mutex
 	generation int
@@ -29,7 +32,7 @@
 		h.cannotRun("%v", err)
 	}
 	d := &discovery{
-		address: l.Addr().String(), generation: 1, entries: map[string]string{}, watches: map[chan string]bool{},
+		address: l.Addr().String(), listener: l, generation: 1, entries: map[string]string{}, watches: map[chan string]bool{},
 	}
 	go func() {
 		for {
@@ -43,6 +46,24 @@
 	return d
 }
 
+// callWait is how long a call waits before it fails (casa-tiles: discovery.timeout_ms).
+const callWait = time.Second
+
+func (d *discovery) setCrowded(on bool) { d.crowded.Store(on) }
+
+// close takes no new connections from now on, and closes the open watches after a time.
+func (d *discovery) close(openFor time.Duration) {
+	d.listener.Close()
+	time.AfterFunc(openFor, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for w := range d.watches {
+			close(w)
+			delete(d.watches, w)
+		}
+	})
+}
+
 // set lists a server with a lifecycle: Ready, Terminating or Gone.
 func (d *discovery) set(id, address, lifecycle string, startedAtMs int64) {
 	d.mu.Lock()
@@ -86,6 +107,11 @@
 	if err != nil {
 		return
 	}
+	if d.crowded.Load() {
+		time.Sleep(callWait)
+		fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
 	if !strings.Contains(first, "watch=1") {
 		text := d.list() + "\n"
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
@@ -107,7 +133,10 @@
 			return
 		}
 		select {
-		case event := <-events:
+		case event, open := <-events:
+			if !open {
+				return
+			}
 			text = event + "\n"
 		case <-time.After(2 * time.Second):
 			text = "\n"
@@ -121,7 +150,10 @@
 	id       string
 	listener net.Listener
 	open     atomic.Int64
-	onOpen   func(id string) // called when the first line of a connection has come
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool             // guarded by mu
+	onOpen func(id string, at time.Time) // called for each first line, with the time of its first byte
 }
 
 func (h *harness) newTileServer(id string) *tileServer {
@@ -129,7 +161,7 @@
 	if err != nil {
 		h.cannotRun("%v", err)
 	}
-	s := &tileServer{h: h, id: id, listener: l}
+	s := &tileServer{h: h, id: id, listener: l, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -144,11 +176,35 @@
 
 func (s *tileServer) address() string { return s.listener.Addr().String() }
 
+// stop ends the server's process.
+func (s *tileServer) stop() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 func (s *tileServer) serve(c net.Conn) {
 	defer c.Close()
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	up := false
 	for {
+		_, err := in.Peek(1)
+		firstByteAt := time.Now()
+		if err != nil {
+			return
+		}
 		line, err := in.ReadString('\n')
 		if err != nil {
 			return
@@ -165,7 +221,7 @@
 			defer s.open.Add(-1)
 			s.h.logf("server %s runs %s", s.id, fields[1])
 			if s.onOpen != nil {
-				s.onOpen(fields[1])
+				s.onOpen(fields[1], firstByteAt)
 			}
 			fmt.Fprintf(c, "UP %s-%s\r\n", s.id, fields[1])
 		default:
@@ -175,9 +231,12 @@
 	}
 }
 
+// relaySeed is the seed that the platform gives to the relays; it is new with each start of a case.
+var relaySeed = rand.Uint64()
+
 // casaConfig returns the platform's configuration of a relay of a small deployment like casa-tiles.
 func casaConfig(name, listen, discovery, known string, relays, me int) string {
-	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
  "known":%s,
  "settings":{"areas":["hall-a","hall-b","hall-c"],"zone":"hall-a","balancers":%d,"me":%d,"quantumMs":5,
@@ -196,7 +255,7 @@
   "specifics":{"groups":true,"messageAimMs":[50,50,100],"mode":"proxy","reportX0":"load asked of the server over what it can do",
    "tellsLoad":true,"tenantQuotaConnections":[40,34]},
   "telemetry":{"fields":["x0","rate","q"],"how":"on_probe"},"tiers":["tile-stream"],"stage":0,
-  "weightSource":"rough","worthBy":"request"}}`, name, listen, discovery, known, relays, me)
+  "weightSource":"rough","worthBy":"request"}}`, name, listen, discovery, relaySeed, known, relays, me)
 }
 
 // clientResult is how a client's connection went.
--- a/review/standin2/xmpp.go
+++ b/review/standin2/xmpp.go
@@ -22,6 +22,8 @@
 	listener net.Listener
 	onAuth   func(connectedAt time.Time) // called when a client's SASL has come, so not for probes
 
+	challenges bool // SASL takes a challenge and a response
+
 	mu     sync.Mutex
 	wake   *sync.Cond // on mu: signals the end of silent
 	silent bool       // reads nothing and answers nothing
@@ -64,6 +66,12 @@
 	s.wake.Broadcast()
 }
 
+// stop ends the server's process.
+func (s *xmppServer) stop() {
+	s.listener.Close()
+	s.setSilent(false)
+}
+
 func (s *xmppServer) connCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,11 +120,15 @@
 				}
 				fmt.Fprintf(c, "<?xml version='1.0'?><stream:stream id='%s' from='alerts.example' %s>"+
 					"<stream:features>%s</stream:features>", s.id, streamNamespaces, features)
-			case "auth":
-				authenticated = true
+			case "auth", "response":
 				if s.onAuth != nil {
 					s.onAuth(connectedAt)
 				}
+				if s.challenges && t.Name.Local == "auth" {
+					fmt.Fprintf(c, "<challenge xmlns='%s'>cj1h</challenge>", saslNamespace)
+					continue
+				}
+				authenticated = true
 				fmt.Fprintf(c, "<success xmlns='%s'/>", saslNamespace)
 			case "iq":
 				if _, err := fmt.Fprintf(c, "<iq type='result' id='%s'/>", attr(t, "id")); err == nil {
@@ -180,6 +192,8 @@
 			s.server = attr(t, "id")
 		case "mechanisms":
 			fmt.Fprintf(conn, "<auth xmlns='%s' mechanism='PLAIN'>AGEAYg==</auth>", saslNamespace)
+		case "challenge":
+			fmt.Fprintf(conn, "<response xmlns='%s'>Yz0=</response>", saslNamespace)
 		case "success":
 			fmt.Fprint(conn, strings.TrimPrefix(header, "<?xml version='1.0'?>"))
 			stage = 1
--- a/review/standin2/xmppdrain.go
+++ b/review/standin2/xmppdrain.go
@@ -8,7 +8,9 @@
 
 const (
 	listUnreachable = 16 * time.Second // BRIEF, Troubles so far: out of reach for 8.6 to 24 s
-	notifiedWithin  = 6 * time.Second  // PROTOCOL, Figures: counts as told 6 s later at the latest
+	drainTime       = 12 * time.Second // a deploy replaces servers within 20 to 39 s, a fifth of them at a time
+	streamLife      = 3 * time.Second
+	notifiedWithin  = 6 * time.Second // PROTOCOL, Figures: counts as told 6 s later at the latest
 	drainGrace      = 500 * time.Millisecond
 	socketSlack     = 50 * time.Millisecond // PROTOCOL: every time limit is 50 ms longer
 )
@@ -40,16 +42,7 @@
 	address := h.freeAddress()
 	config := h.writeFile("xmpp.toml", xmppConfig(address, link.address))
 	h.startRelay("n1", "--xmpp "+config, nil, "TMPDIR="+h.dir)
-	ready := false
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !ready; time.Sleep(50 * time.Millisecond) {
-		if s, outcome := h.openXMPP(address, 2*time.Second); outcome == "established" {
-			s.close()
-			ready = true
-		}
-	}
-	if !ready {
-		h.cannotRun("no stream was established within 10 s of the start")
-	}
+	h.awaitXMPP(address)
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
 	clients.Go(func() {
@@ -57,9 +50,11 @@
 			clients.Go(func() {
 				s, outcome := h.openXMPP(address, 9*time.Second)
 				h.logf("stream %d: %s at %s", s.number, outcome, s.server)
-				if outcome == "established" {
-					time.Sleep(3 * time.Second)
-					s.close()
+				if outcome != "established" {
+					return
+				}
+				if how := s.awaitEnd(time.Now().Add(streamLife)); how != "" {
+					h.logf("stream %d at %s was cut off: %s", s.number, s.server, how)
 				}
 			})
 			select {
@@ -84,7 +79,10 @@
 		toldAt = silentAt.Add(time.Second + notifiedWithin)
 	}
 	mu.Unlock()
-	time.Sleep(listUnreachable - time.Second)
+	time.Sleep(drainTime)
+	draining.stop()
+	h.logf("server %s has drained and stops", draining.id)
+	time.Sleep(listUnreachable - drainTime - time.Second)
 	if h.trouble {
 		link.setSilent(false)
 		h.logf("registry in reach again")
--- a/review/standin2/xmppheld.go
+++ b/review/standin2/xmppheld.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/xml"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -99,12 +100,17 @@
 	}
 }
 
-// awaitEnd reads the stream until it ends and returns the condition of its stream error.
+// awaitEnd reads the stream until it ends and returns the condition of its stream error. At the deadline it closes
+// the stream in order and returns "".
 func (s *xmppStream) awaitEnd(deadline time.Time) string {
 	s.conn.SetReadDeadline(deadline)
 	how := "end of the stream"
 	for {
 		token, err := s.xml.RawToken()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			s.close()
+			return ""
+		}
 		if err != nil {
 			s.conn.Close()
 			return how
