--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 8: see claim.txt. Exit code 1: rule broken, 0: rule held, 2: could not run. TROUBLE=0: no disruption.
+# Case 7: see claim.txt. Exit code 1: rule broken, 0: rule held, 2: could not run. TROUBLE=0: no disruption.
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
