--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -12,6 +12,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +55,9 @@
 		record:  record,
 	}
 	h.logf("case %s, trouble %v, seed of the relays %016x", os.Args[1], h.trouble, relaySeed)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { h.cannotRun("ended by %v", <-signals) }()
 	time.AfterFunc(110*time.Second, func() { h.cannotRun("took over 110 s") })
 	cases[os.Args[1]](h)
 	h.verdict()
