Add review case 6: one request id served twice in a replacement

Cause: the ids of open requests are known to one process only.

Done: review/6 with its stand-in (standin2 same-id). A second find, a replacement while the list is out of reach, is the trial 'stale-list'.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$here/../.." && pwd)
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
 [ -n "$run" ] && [ -x "$root/bin/capersail" ] && [ -x "$root/bin/standin2" ] || exit 2
-exec "$root/bin/standin2" upgrade -root "$root" -run "$run" -record "$here/record.txt"
+exec "$root/bin/standin2" same-id -root "$root" -run "$run" -record "$here/record.txt"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,8 @@
 	"xmpp-held":   xmppHeldCase,
 	"reload":      reloadCase,
 	"xmpp-twice":  xmppTwiceCase,
+	"stale-list":  staleListCase,
+	"same-id":     sameIDCase,
 }
 
 func main() {
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -151,9 +151,11 @@
 	listener net.Listener
 	open     atomic.Int64
 
-	mu     sync.Mutex
-	conns  map[net.Conn]bool             // guarded by mu
-	onOpen func(id string, at time.Time) // called for each first line, with the time of its first byte
+	mu    sync.Mutex
+	conns map[net.Conn]bool // guarded by mu
+	// onOpen is called for each first line, with the time of its first byte. If it returns a function, that is
+	// called at the connection's end.
+	onOpen func(id string, at time.Time) (onEnd func())
 }
 
 func (h *harness) newTileServer(id string) *tileServer {
@@ -221,7 +223,9 @@
 			defer s.open.Add(-1)
 			s.h.logf("server %s runs %s", s.id, fields[1])
 			if s.onOpen != nil {
-				s.onOpen(fields[1], firstByteAt)
+				if onEnd := s.onOpen(fields[1], firstByteAt); onEnd != nil {
+					defer onEnd()
+				}
 			}
 			fmt.Fprintf(c, "UP %s-%s\r\n", s.id, fields[1])
 		default:
--- a/review/standin2/reload.go
+++ b/review/standin2/reload.go
@@ -28,7 +28,7 @@
 		after.set(s.id, s.address(), "Ready", 0)
 	}
 	draining := servers[0]
-	draining.onOpen = func(id string, at time.Time) {
+	draining.onOpen = func(id string, at time.Time) func() {
 		mu.Lock()
 		defer mu.Unlock()
 		if !toldAt.IsZero() && at.After(toldAt.Add(drainGrace+socketSlack)) {
@@ -36,6 +36,7 @@
 			h.breaks("server %s was sent %s %.2f s after the relay counts as told that it drains",
 				draining.id, id, at.Sub(toldAt).Seconds())
 		}
+		return nil
 	}
 	address, admin := h.freeAddress(), h.freeAddress()
 	text := func(discovery string) string {
