Give an XMPP stream that its server ends during SASL one outcome

Cause: outcomeSent stood for "the relay sent an outcome". The server's stream error was forwarded like a stanza, and the end tag behind it was taken for the failure of a stream without an outcome. Ruled out: a retry at another server (none is started) and the registry's word of the drain (its condition would be reset).

Fix: every outcome, of the relay or of the server, goes out through stream.endWith, once. Before the client's first SASL item the attempt is reported as not having run, so that it may be retried and the client sees nothing of it. An end tag behind a SASL failure is an outcome too: it had counted as a reset of the server. On established streams, stanzas are returned before the server's stream error, not behind it.

--- a/internal/wire/xmpp/encode.go
+++ b/internal/wire/xmpp/encode.go
@@ -21,8 +21,10 @@
 
 	xmlDeclaration = "<?xml version='1.0'?>"
 	streamEndTag   = "</stream:stream>"
-	proceedTLS     = "<proceed xmlns='" + tlsNamespace + "'/>"
-	requireTLS     = "<stream:features><starttls xmlns='" + tlsNamespace +
+	// streamErrorName is the name of the element with which a peer ends its stream by an error.
+	streamErrorName = "stream:error"
+	proceedTLS      = "<proceed xmlns='" + tlsNamespace + "'/>"
+	requireTLS      = "<stream:features><starttls xmlns='" + tlsNamespace +
 		"'><required/></starttls></stream:features>"
 )
 
--- a/internal/wire/xmpp/handshake.go
+++ b/internal/wire/xmpp/handshake.go
@@ -94,6 +94,7 @@
 type saslExchange struct {
 	*attempt
 	forwarded bool // an item of the client has been sent to the server
+	failed    bool // the server's latest SASL answer is a failure
 	succeeded bool // the server has sent SASL success
 	restarted bool // the server has restarted its stream
 }
@@ -120,12 +121,15 @@
 			}
 			continue
 		}
-		if err != nil || it.kind == streamEnd {
+		switch {
+		case err != nil:
 			return s.failureStatus(err)
-		}
-		if it.name == "stream:features" && s.restarted {
+		case it.kind == streamEnd || it.name == streamErrorName:
+			return s.endByServer(it)
+		case it.name == "stream:features" && s.restarted:
 			return s.establish(it)
 		}
+		s.failed = it.name == "failure"
 		s.succeeded = s.succeeded || it.name == "success"
 		s.restarted = s.restarted || s.succeeded && it.kind == streamHeader
 		if s.stream.write(it.raw) != nil {
@@ -134,6 +138,24 @@
 	}
 }
 
+// endByServer ends an exchange whose server has sent a stream error or its end tag. Before the client's first
+// SASL item the attempt may be retried at another server. After it, the client gets the server's outcome and
+// no other. An end tag is an outcome only after a SASL failure; otherwise the client must learn that it was
+// not authenticated.
+func (s *saslExchange) endByServer(it item) decide.Status {
+	switch {
+	case !s.forwarded:
+		return decide.ConnectFailed
+	case it.name == streamErrorName:
+		s.stream.forwardStreamError(it)
+		return decide.Cancelled
+	case s.failed:
+		s.stream.sendOutcome(noCondition, "")
+		return decide.Cancelled
+	}
+	return decide.Reset
+}
+
 // forwardFromClient forwards the client's queued items. It returns whether the attempt is over, and its
 // status.
 func (s *saslExchange) forwardFromClient() (status decide.Status, over bool) {
@@ -152,8 +174,7 @@
 	return decide.OK, false
 }
 
-// failureStatus returns the status of an exchange that failed with err, or was ended by the server if err is
-// nil.
+// failureStatus returns the status of an exchange that failed with err.
 func (s *saslExchange) failureStatus(err error) decide.Status {
 	switch {
 	case splice.TimedOut(err) && !s.forwarded: // the client sent nothing after the features
@@ -161,7 +182,7 @@
 		return decide.Cancelled
 	case splice.TimedOut(err):
 		return decide.TimedOut
-	case err != nil && !s.forwarded:
+	case !s.forwarded:
 		return decide.ConnectFailed
 	default:
 		return decide.Reset
--- a/internal/wire/xmpp/piped_stream_test.go
+++ b/internal/wire/xmpp/piped_stream_test.go
@@ -21,7 +21,7 @@
 
 const testSilenceTimeout = 5 * time.Second
 
-// pipedStream is an established stream between a client and a server that the test plays, over connections
+// pipedStream is a stream between a client and a server that the test plays, over connections
 // without buffers: a write blocks until the peer has read it. It must be used in a synctest bubble.
 type pipedStream struct {
 	t       *testing.T
@@ -42,6 +42,28 @@
 
 // newPipedStream starts both sides of the relay on an established stream.
 func newPipedStream(t *testing.T) *pipedStream {
+	p, current := newPipedAttempt(t)
+	current.reader = newItemReader(current.Conn.NetConn)
+	current.reader.scanner.feed([]byte(encodeHeader("s")))
+	if p.request.Establish(0) == nil {
+		t.Fatal("the attempt was not established")
+	}
+	go p.runServerSide(current, current.forwardStanzas)
+	return p
+}
+
+// newPipedHandshake starts both sides of the relay on a stream whose server has been connected.
+func newPipedHandshake(t *testing.T) *pipedStream {
+	p, current := newPipedAttempt(t)
+	go p.runServerSide(current, func() decide.Status {
+		status, _ := current.runProtocol()
+		return status
+	})
+	return p
+}
+
+// newPipedAttempt starts the client side of the relay. It returns the attempt, which has its connection.
+func newPipedAttempt(t *testing.T) (*pipedStream, *attempt) {
 	clock := relay.NewClock()
 	deployment := &relay.Deployment{Settings: decide.Settings{
 		MaxAttempts: 1,
@@ -53,6 +75,7 @@
 	client, clientEnd := net.Pipe()
 	server, serverEnd := net.Pipe()
 	st := newStream(&splice.Conn{NetConn: clientEnd, Clock: clock})
+	st.clientHeader.raw = []byte(encodeClientHeader("s"))
 	params := relay.RequestParams{Timeout: time.Minute, Payload: st}
 	request := table.Resume(params, "s", clientHalf{st.client, st})
 	current := &attempt{
@@ -63,11 +86,9 @@
 		},
 		dialer: &ServerDialer{Clock: clock, SilenceTimeout: testSilenceTimeout},
 		stream: st,
-		reader: newItemReader(serverEnd),
 	}
-	current.reader.scanner.feed([]byte(encodeHeader("s")))
-	if !request.Attach(0, current.Conn) || !request.BeginWrite(0) || request.Establish(0) == nil {
-		t.Fatal("the attempt was not established")
+	if !request.Attach(0, current.Conn) || !request.BeginWrite(0) {
+		t.Fatal("the attempt was not started")
 	}
 	p := &pipedStream{
 		t:       t,
@@ -78,8 +99,7 @@
 		status:  make(chan decide.Status, 1),
 	}
 	go p.runClientSide(&Frontend{Limiter: connlimit.New(clock, 1, zerolog.Nop())}, st)
-	go p.runServerSide(current)
-	return p
+	return p, current
 }
 
 // runClientSide does what Frontend.serveClient does once the request is open.
@@ -90,9 +110,10 @@
 	st.client.NetConn.Close()
 }
 
-// runServerSide does what splice.Attempt.Run does once the server is connected.
-func (p *pipedStream) runServerSide(a *attempt) {
-	status := a.forwardStanzas()
+// runServerSide does what splice.Attempt.Run does once the server is connected. protocol runs the attempt
+// until it is over.
+func (p *pipedStream) runServerSide(a *attempt, protocol func() decide.Status) {
+	status := protocol()
 	a.Conn.NetConn.Close()
 	p.request.EndAttempt(0, status, decide.NoLoadReport)
 	p.status <- status
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -38,9 +38,8 @@
 		case it.kind == streamEnd:
 			a.Conn.Forward([]byte(streamEndTag))
 			return a.endStream(noCondition, decide.OK)
-		case it.name == "stream:error":
-			a.stream.write(it.raw)
-			return a.endStream(noCondition, decide.Cancelled)
+		case it.name == streamErrorName:
+			return a.endByStreamError(it)
 		default:
 			if a.forwardToClient(it) != nil {
 				return decide.Cancelled
@@ -109,31 +108,46 @@
 	return a.Conn.Forward(a.deliveries.nextPing())
 }
 
-// endStream ends a stream whose server is lost, silent or has closed it. Unconfirmed and queued stanzas are
-// returned to the client as errors, so that none is lost silently or sent twice.
+// endStream ends a stream whose server is lost, silent or has closed it.
 func (a *attempt) endStream(c condition, status decide.Status) decide.Status {
 	// Before the client sees the end of its stream, after which its goroutine reports a close by the client.
 	a.Request.ServerClosed()
-	var bounced []item
-	if status != decide.OK && status != decide.Cancelled { // else it had processed what it read
+	if clientEnded := a.returnStanzas(status); clientEnded {
+		c = noCondition
+	}
+	a.stream.sendOutcome(c, "")
+	a.stream.client.Close(relay.GracefulClose)
+	return status
+}
+
+// endByStreamError ends a stream with the stream error of its server.
+func (a *attempt) endByStreamError(streamError item) decide.Status {
+	a.Request.ServerClosed()
+	a.returnStanzas(decide.Cancelled)
+	a.stream.forwardStreamError(streamError)
+	a.stream.client.Close(relay.GracefulClose)
+	return decide.Cancelled
+}
+
+// returnStanzas returns unconfirmed and queued stanzas to the client as errors, so that none is lost silently
+// or sent twice. status is how the attempt ended. It reports whether the client has ended its stream.
+func (a *attempt) returnStanzas(status decide.Status) (clientEnded bool) {
+	var undelivered []item
+	if status != decide.OK && status != decide.Cancelled { // else the server had processed what it read
 		for _, sent := range a.deliveries.unconfirmed {
-			bounced = append(bounced, sent.item)
+			undelivered = append(undelivered, sent.item)
 		}
 	}
 	for it, ok := a.stream.pop(); ok; it, ok = a.stream.pop() {
-		if it.kind == streamEnd {
-			c = noCondition
-		}
-		bounced = append(bounced, it)
+		clientEnded = clientEnded || it.kind == streamEnd
+		undelivered = append(undelivered, it)
 	}
-	for _, it := range bounced {
+	for _, it := range undelivered {
 		if text := encodeBounce(it); text != "" {
 			a.stream.write([]byte(text))
 		}
 	}
-	a.stream.sendOutcome(c, "")
-	a.stream.client.Close(relay.GracefulClose)
-	return status
+	return clientEnded
 }
 
 // migrate forwards what the client has sent so far and then ends its stream with the condition reset, so that
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"strings"
 	"sync"
 
 	"capersail/internal/relay"
@@ -33,7 +32,7 @@
 	// takes, and is locked before mu.
 	writeMu     sync.Mutex
 	headerSent  bool   // a start tag has been sent to the client; guarded by writeMu
-	outcomeSent bool   // the outcome has been sent, or a write has failed; guarded by writeMu
+	outcomeSent bool   // an outcome has been sent, or a write has failed; guarded by writeMu
 	features    string // the features sent to the client, "" if none were sent; guarded by writeMu
 
 	mu          sync.Mutex // guards the fields below; never held during a write
@@ -128,24 +127,36 @@
 	return !st.outcomeSent && st.forward([]byte(xmlDeclaration+header+features)) == nil
 }
 
-// sendOutcome sends the client the outcome of its stream, once: the stream's end tag, preceded by a stream
-// error if there is a condition. extraChild is a further child element of the error, or "".
+// sendOutcome sends the client the relay's outcome of its stream: the stream's end tag, preceded by a stream
+// error if there is a condition. extraChild is a further child element of the error, or "". It has no effect
+// if the stream has an outcome.
 func (st *stream) sendOutcome(c condition, extraChild string) {
+	streamError := ""
+	if c != noCondition {
+		streamError = fmt.Sprintf("<stream:error><%s xmlns='%s'/>%s</stream:error>", c, errorsNamespace,
+			extraChild)
+	}
+	st.endWith(streamError)
+}
+
+// forwardStreamError sends the client a stream error of its server, which is the outcome of the stream, and
+// the end tag. It has no effect if the stream has an outcome.
+func (st *stream) forwardStreamError(it item) { st.endWith(string(it.raw)) }
+
+// endWith sends the client the outcome of its stream, once: a stream error, or "", and the stream's end tag.
+// An outcome is an outcome whether the relay or the server made it, so all of them go out here.
+func (st *stream) endWith(streamError string) {
 	st.writeMu.Lock()
 	defer st.writeMu.Unlock()
 	if st.outcomeSent {
 		return
 	}
 	st.outcomeSent = true
-	var b strings.Builder
+	header := ""
 	if !st.headerSent {
-		b.WriteString(xmlDeclaration + encodeHeader(st.host))
-	}
-	if c != noCondition {
-		fmt.Fprintf(&b, "<stream:error><%s xmlns='%s'/>%s</stream:error>", c, errorsNamespace, extraChild)
+		header = xmlDeclaration + encodeHeader(st.host)
 	}
-	b.WriteString(streamEndTag)
-	st.forward([]byte(b.String()))
+	st.forward([]byte(header + streamError + streamEndTag))
 	st.markEnded() // not earlier, as the client's goroutine then closes the connection
 }
 
