Send no MOVE behind a server's BYE or MOVE

A client whose server had ended its connection with BYE or MOVE got a MOVE of the relay behind it, if a migration began before the server closed.

Cause: migrate knew what the relay had sent, and not that the server's last line already was the outcome.

Fix: downstream records that the last forwarded line was the server's end; a migration then only closes the client's connection. A server's MOVE to a resumable stream is not forwarded, and MOVE goes out as before.

--- a/internal/wire/platform/server_dialer.go
+++ b/internal/wire/platform/server_dialer.go
@@ -125,6 +125,7 @@
 	stream         *resume.Stream    // nil if the client asked for no token
 	closeStatus    decide.Status     // status of the attempt if the server closes now
 	closeReport    decide.LoadReport // load report of the attempt if the server closes now
+	endForwarded   bool              // the last line that the client was sent is the server's BYE or MOVE
 	midLine        bool              // the last read returned a part of a line over 4 KiB
 	streamCheckDue bool              // the server's lease and the read deadline must be renewed
 }
@@ -140,6 +141,7 @@
 			d.client.Close(relay.AbortiveClose)
 			return decide.Cancelled, d.closeReport
 		}
+		d.endForwarded = d.closeStatus != decide.Reset
 		d.recordForwarded(line)
 		var err error
 		line, err = d.lines.readLine()
@@ -225,7 +227,8 @@
 	return decide.Reset, decide.NoLoadReport
 }
 
-// migrate sends the client MOVE and closes its connection. A resumable stream is closed at its server and
+// migrate sends the client MOVE and closes its connection. After the server's own BYE or MOVE it only closes
+// the connection. A resumable stream is closed at its server and
 // released before that: the client may reach the next relay within a millisecond.
 func (d *downstream) migrate() (decide.Status, decide.LoadReport) {
 	releaseStream(d.Conn, d.stream)
@@ -233,6 +236,10 @@
 		d.client.Close(relay.AbortiveClose)
 		return decide.Cancelled, d.closeReport
 	}
+	if d.endForwarded { // MOVE would be a second outcome
+		d.client.Close(relay.GracefulClose)
+		return d.closeStatus, d.closeReport
+	}
 	status := decide.Cancelled
 	if _, serverSilent := d.Request.Migrating(); serverSilent {
 		status = decide.Reset
