Let a relay with control sockets be replaced, and accept clients last

Cause: a control socket that answers stood for another relay, though in an upgrade it is the relay's own old process. And the process accepted clients before its parts had started, so that its end reset them. Ruled out: the store (its lock is retried) and the socket's file (the error comes before it is touched).

Fix: in an upgrade a control socket in use is bound once the old process has gone. Connections are accepted after the parts and the admin address have started. By the search for the same shape: the XMPP address is taken over in the same way, the path is no longer removed twice, and only a refused connection means a dead daemon.

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -19,15 +19,22 @@
 func startOnInheritedSocket(
 	t *testing.T, config string, l *net.TCPListener, env ...string,
 ) (*exec.Cmd, string, <-chan string) {
+	t.Helper()
+	cmd := relayCommand(t, config)
+	cmd.Env = append(cmd.Env, env...)
+	return startWithSocket(t, cmd, l)
+}
+
+// startWithSocket starts a command of the program on a listening socket that the test holds.
+func startWithSocket(t *testing.T, cmd *exec.Cmd, l *net.TCPListener) (*exec.Cmd, string, <-chan string) {
 	t.Helper()
 	f, err := l.File()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	cmd := relayCommand(t, config)
 	cmd.ExtraFiles = []*os.File{f}
-	cmd.Env = append(cmd.Env, append(env, "LB_FD=3")...)
+	cmd.Env = append(cmd.Env, "LB_FD=3")
 	cmd, address, messages := startCommand(t, cmd)
 	// exec made the shared socket blocking; the platform leaves it non-blocking, as the relay sets it.
 	setSocketBlocking(t, l, false)
--- a/cmd/capersail/timeline_test.go
+++ b/cmd/capersail/timeline_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -71,3 +72,46 @@
 		t.Errorf("store after kill -9: got %q, want 5 placements and state warm", got)
 	}
 }
+
+// In an upgrade the old process answers on the control sockets of the relay's parts. The new process ended
+// because of that, with status 1. It must serve, and answer on the sockets once the old process has ended.
+func TestUpgradeTakesOverControlSockets(t *testing.T) {
+	l, config := newInheritableSocket(t)
+	dir := t.TempDir()
+	timelineSocket, membersSocket := filepath.Join(dir, "t.sock"), filepath.Join(dir, "m.sock")
+	timelineFile, membersFile := filepath.Join(dir, "timeline.toml"), filepath.Join(dir, "members.toml")
+	os.WriteFile(timelineFile, fmt.Appendf(nil, "socket = %q\n", timelineSocket), 0o600)
+	gossip := freeAddress(t)
+	os.WriteFile(membersFile, fmt.Appendf(nil,
+		"site = \"test\"\nbind = %q\nseeds = [%q]\nstate = %q\nsocket = %q\n",
+		gossip, gossip, filepath.Join(dir, "state"), membersSocket), 0o600)
+	serve := func() (*exec.Cmd, <-chan string) {
+		t.Helper()
+		cmd := relayCommand(t, config)
+		cmd.Args = append(cmd.Args, "--timeline", timelineFile, "--members", membersFile)
+		cmd, _, logs := startWithSocket(t, cmd, l)
+		return cmd, logs
+	}
+	answers := func(args ...string) bool {
+		cmd := relayCommand(t, config)
+		cmd.Args = append(cmd.Args, args...)
+		return cmd.Run() == nil
+	}
+	bothAnswer := func() bool {
+		return answers("timeline", "--socket", timelineSocket, "show", "s1") &&
+			answers("members", "--socket", membersSocket)
+	}
+	f := &fleet{t: t}
+	old, _ := serve()
+	f.waitFor("the old process on both sockets", bothAnswer)
+	next, logs := serve()
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Errorf("old process after SIGTERM: exited with %v, want no error", err)
+	}
+	f.waitFor("the new process on both sockets", bothAnswer)
+	next.Process.Signal(syscall.SIGTERM)
+	if err := next.Wait(); err != nil {
+		t.Errorf("new process after SIGTERM: exited with %v, want no error; log: %s", err, <-logs)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -57,14 +57,10 @@
 }
 
 // Listen starts a server on the socket at path. It replaces a socket that a dead process has left behind. If
-// another daemon answers on the socket, the error is ErrSocketInUse.
+// another daemon listens on the socket, the error is ErrSocketInUse.
 func Listen(path string, sources Sources, log zerolog.Logger) (*Server, error) {
-	if conn, err := net.Dial("unix", path); err == nil {
-		conn.Close()
-		return nil, fmt.Errorf("%s: %w", path, ErrSocketInUse)
-	}
-	if info, err := os.Lstat(path); err == nil && info.Mode().Type() == os.ModeSocket {
-		os.Remove(path)
+	if err := removeDeadSocket(path); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	old := syscall.Umask(0o177) // sets the mode when the socket is created; a chmod would come later
 	l, err := net.Listen("unix", path)
@@ -83,7 +79,26 @@
 	return s, nil
 }
 
-// Close stops listening and closes all connections. It may be called more than once.
+// removeDeadSocket removes the socket at path if no process listens on it. A socket that refuses connections
+// is dead; any other error may come from a live daemon that is busy.
+func removeDeadSocket(path string) error {
+	conn, err := net.Dial("unix", path)
+	switch {
+	case err == nil:
+		conn.Close()
+		return ErrSocketInUse
+	case errors.Is(err, syscall.EAGAIN): // its queue of connections is full
+		return ErrSocketInUse
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return nil
+	}
+	if info, err := os.Lstat(path); err == nil && info.Mode().Type() == os.ModeSocket {
+		os.Remove(path)
+	}
+	return nil
+}
+
+// Close removes the socket, stops listening and closes all connections. It may be called more than once.
 func (s *Server) Close() {
 	s.listener.Close()
 	s.mu.Lock()
--- a/internal/lifecycle/front.go
+++ b/internal/lifecycle/front.go
@@ -43,13 +43,15 @@
 	}
 }
 
-// runningFront is a front that serves clients, with its event loop.
+// runningFront is a front with its event loop.
 type runningFront struct {
 	requests *relay.RequestTable
 	listener net.Listener
 	// inherited is true if the listening socket belongs to the platform; it stays open in the next process.
-	inherited       bool
-	limiter         *connlimit.Limiter
+	inherited bool
+	limiter   *connlimit.Limiter
+	// startServing makes the front accept connections.
+	startServing    func()
 	serveErr        chan error    // receives the error that ended the listener
 	longestDeadline time.Duration // the longest of its classes
 	// reload reads the front's file again and applies it. If it fails, nothing has changed.
--- a/internal/lifecycle/members_part.go
+++ b/internal/lifecycle/members_part.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -27,7 +26,8 @@
 	node          *gossip.Node
 	sharedProbing *relay.SharedProbing // nil if each relay probes servers for itself
 	joinErr       error
-	control       *control.Server    // nil without a socket
+	control       controlSocket
+	upgrade       bool               // the process that this one replaces may still run
 	cancel        context.CancelFunc // stops the node; nil before start
 }
 
@@ -53,6 +53,7 @@
 	if front.platform == nil {
 		return
 	}
+	p.upgrade = front.upgrade
 	c := &p.gossip
 	c.Clock = front.clock
 	c.RefreshEndpoints = front.discovery.RestartWatch
@@ -113,8 +114,7 @@
 	}
 	if p.config.ControlSocket != "" {
 		sources := control.Sources{Fleet: p.node, Probing: p.sharedProbing.Report, Cells: p.node.CellsReport}
-		var err error
-		if p.control, err = control.Listen(p.config.ControlSocket, sources, p.log); err != nil {
+		if err := p.control.start(p.config.ControlSocket, sources, p.upgrade, p.log); err != nil {
 			return &ConfigError{File: p.path, Key: "socket", Err: err}
 		}
 	}
@@ -166,10 +166,7 @@
 func (p *membersPart) leave() { p.node.Leave() }
 
 func (p *membersPart) stop() {
-	if p.control != nil {
-		p.control.Close()
-		os.Remove(p.config.ControlSocket)
-	}
+	p.control.stop()
 	if p.cancel != nil {
 		p.cancel()
 		p.node.Wait()
--- a/internal/lifecycle/part.go
+++ b/internal/lifecycle/part.go
@@ -54,6 +54,7 @@
 type frontHooks struct {
 	frontName       string
 	relayName       string // the name of the relay
+	upgrade         bool   // the process that this one replaces may still run
 	requests        *relay.RequestTable
 	clock           *relay.Clock
 	platform        *platform.Frontend      // nil for other fronts
--- a/internal/lifecycle/platform.go
+++ b/internal/lifecycle/platform.go
@@ -14,7 +14,7 @@
 )
 
 // startPlatform starts the platform's front, with its own event loop and discovery client, which stop when
-// ctx ends.
+// ctx ends. The front accepts connections once its startServing is called.
 func startPlatform(
 	ctx context.Context, sources Sources, c *Config, parts partList, log zerolog.Logger,
 ) (*runningFront, error) {
@@ -35,6 +35,7 @@
 	hooks := &frontHooks{
 		frontName: "platform",
 		relayName: c.Name,
+		upgrade:   inherited,
 		requests:  requests,
 		clock:     clock,
 		platform:  front,
@@ -58,8 +59,10 @@
 		longestDeadline: longestDeadline(c.Deployment),
 	}
 	r.reload = func() error { return reloadPlatform(sources, c, endpoints, limiter, log) }
-	go func() { r.serveErr <- front.Serve(listener) }()
-	logServing(c, r, log)
+	r.startServing = func() {
+		go func() { r.serveErr <- front.Serve(listener) }()
+		logServing(c, r, log)
+	}
 	return r, nil
 }
 
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -61,7 +61,8 @@
 	parts    partList
 
 	fronts   []*runningFront
-	serveErr chan error // receives the error that ended a front's listener
+	admin    *adminRelay // nil if the admin address is off
+	serveErr chan error  // receives the error that ended a front's listener
 }
 
 // readConfigs reads and checks all configuration files.
@@ -80,35 +81,56 @@
 	return err
 }
 
-// start starts the fronts, which the parts join, then the parts, then the admin address.
+// start starts the fronts, which the parts join, then the parts, then the admin address. Connections are
+// accepted last: a process that cannot start must not have taken any, as its end would reset them.
 func (p *process) start(ctx context.Context) error {
+	if err := p.startFronts(ctx); err != nil {
+		return err
+	}
+	if err := p.parts.start(ctx); err != nil {
+		return err
+	}
+	if err := p.startAdmin(ctx); err != nil {
+		return err
+	}
+	for _, front := range p.fronts {
+		front.startServing()
+	}
+	if p.admin != nil {
+		p.admin.serving.Store(true)
+	}
+	return nil
+}
+
+// startFronts starts the fronts, which the parts join.
+func (p *process) startFronts(ctx context.Context) error {
+	upgrade := false
 	if p.platform != nil {
 		front, err := startPlatform(ctx, p.sources, p.platform, p.parts, p.log)
 		if err != nil {
 			return err
 		}
+		upgrade = front.inherited
 		p.addFront(front)
 	}
 	if p.xmpp != nil {
-		front, err := startXMPP(ctx, p.sources, p.xmpp, p.parts, p.log)
+		front, err := startXMPP(ctx, p.sources, p.xmpp, p.parts, upgrade, p.log)
 		if err != nil {
 			return fmt.Errorf("xmpp: %w", err)
 		}
 		p.addFront(front)
 	}
-	if err := p.parts.start(ctx); err != nil {
-		return err
-	}
+	return nil
+}
+
+// startAdmin starts the admin address, if it is on.
+func (p *process) startAdmin(ctx context.Context) (err error) {
 	if p.platform == nil || p.platform.Admin == "" {
 		return nil
 	}
 	sources := []admin.Front{{Source: p.fronts[0].requests, Classes: classNames(p.platform.Deployment)}}
-	target, err := startAdmin(ctx, p.platform.Admin, p.fronts, sources, p.parts.metrics(), p.log)
-	if err != nil {
-		return err
-	}
-	target.serving.Store(true)
-	return nil
+	p.admin, err = startAdmin(ctx, p.platform.Admin, p.fronts, sources, p.parts.metrics(), p.log)
+	return err
 }
 
 func (p *process) addFront(front *runningFront) {
--- a/internal/lifecycle/timeline_part.go
+++ b/internal/lifecycle/timeline_part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -23,7 +22,8 @@
 
 	watchers   []*watch.Watcher // one per front
 	stores     []*store.Store   // one per front; empty without a store
-	control    *control.Server  // nil without a socket
+	control    controlSocket
+	upgrade    bool // the process that this one replaces may still run
 	goroutines sync.WaitGroup
 	cancel     context.CancelFunc // stops the watchers and stores; nil before start
 }
@@ -52,6 +52,7 @@
 	if p.config.StoreFile != "" {
 		c.Store = p.openStore(front)
 	}
+	p.upgrade = p.upgrade || front.upgrade
 	watcher := watch.New(c, front.requests, front.clock, p.log)
 	front.requests.Recorder = watcher.Recorder
 	p.watchers = append(p.watchers, watcher)
@@ -90,9 +91,8 @@
 	if p.config.ControlSocket == "" {
 		return nil
 	}
-	var err error
-	p.control, err = control.Listen(p.config.ControlSocket, control.Sources{Watchers: p.watchers}, p.log)
-	if err != nil {
+	sources := control.Sources{Watchers: p.watchers}
+	if err := p.control.start(p.config.ControlSocket, sources, p.upgrade, p.log); err != nil {
 		return &ConfigError{File: p.path, Key: "socket", Err: err}
 	}
 	return nil
@@ -102,10 +102,7 @@
 	if p.cancel == nil {
 		return
 	}
-	if p.control != nil {
-		p.control.Close()
-		os.Remove(p.config.ControlSocket)
-	}
+	p.control.stop()
 	for _, w := range p.watchers {
 		w.ApplyRecords()
 		w.WriteOpenRows()
--- a/internal/lifecycle/xmpp_front.go
+++ b/internal/lifecycle/xmpp_front.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,9 +24,11 @@
 	xmppTick = 5 * time.Millisecond
 )
 
-// startXMPP starts the XMPP front, with its own event loop and ZooKeeper client, which stop when ctx ends.
+// startXMPP starts the XMPP front, with its own event loop and ZooKeeper client, which stop when ctx ends. The
+// front accepts connections once its startServing is called. In an upgrade its address may be in use by the
+// process that this one replaces.
 func startXMPP(
-	ctx context.Context, sources Sources, c *XMPPConfig, parts partList, log zerolog.Logger,
+	ctx context.Context, sources Sources, c *XMPPConfig, parts partList, upgrade bool, log zerolog.Logger,
 ) (*runningFront, error) {
 	deployment, hosts := c.Deployment()
 	secure, err := c.tlsConfig()
@@ -44,11 +45,17 @@
 		Log:            limiter.Log,
 	}
 	requests := relay.NewRequestTable(deployment, clock, servers)
-	parts.join(&frontHooks{frontName: "xmpp", relayName: "xmpp", requests: requests, clock: clock})
+	parts.join(&frontHooks{
+		frontName: "xmpp",
+		relayName: "xmpp",
+		upgrade:   upgrade,
+		requests:  requests,
+		clock:     clock,
+	})
 	endpoints := zookeeper.NewClient(c.ensemble(), requests, log)
 	requests.UpdateEndpoints(decide.CachedSnapshot, nil)
 	endpoints.Watch() // there is no cached list to start with
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := listenOrTakeOver(c.Listen, upgrade)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -64,8 +71,10 @@
 		longestDeadline: longestDeadline(deployment),
 	}
 	r.reload = func() error { return reloadXMPP(sources.XMPP, c, front, endpoints, limiter, log) }
-	go func() { r.serveErr <- front.Serve(listener) }()
-	log.Info().Str("listen", listener.Addr().String()).Msg("serving XMPP")
+	r.startServing = func() {
+		go func() { r.serveErr <- front.Serve(listener) }()
+		log.Info().Str("listen", listener.Addr().String()).Msg("serving XMPP")
+	}
 	return r, nil
 }
 
--- a/internal/lifecycle/xmpp_test.go
+++ b/internal/lifecycle/xmpp_test.go
@@ -70,10 +70,11 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	r, err := startXMPP(ctx, Sources{XMPP: path}, config, nil, zerolog.Nop())
+	r, err := startXMPP(ctx, Sources{XMPP: path}, config, nil, false, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.startServing()
 	t.Cleanup(func() { r.listener.Close() })
 	return &xmppFixture{t, zk, r.listener.Addr().String(), r, path}
 }
