Scan an XMPP data section in time proportional to its text

Cause: at each '>' within a data section the section so far was copied to a string to look for its end. An item of 64 KB copied 2.3 GB.

Fix: the end is looked for in place.

--- a/internal/wire/xmpp/scanner.go
+++ b/internal/wire/xmpp/scanner.go
@@ -1,6 +1,9 @@
 package xmpp
 
-import "strings"
+import (
+	"bytes"
+	"strings"
+)
 
 // The limits on what the relay buffers for one peer.
 const (
@@ -13,12 +16,13 @@
 const (
 	whitespace          = " \t\r\n"
 	cdataStart          = "<![CDATA["
-	cdataEnd            = "]]>"
 	declaration         = "<?xml"
 	predefinedEntities  = " amp lt gt quot apos " // those that XML predefines
 	minDeclarationBytes = len("<?xml?>")
 )
 
+var cdataEnd = []byte("]]>")
+
 // itemKind is the kind of an item.
 type itemKind uint8
 
@@ -102,7 +106,7 @@
 	case inEntity:
 		return nil, s.scanEntity(c)
 	case inData:
-		if c == '>' && strings.HasSuffix(string(s.item[s.tagStart:]), cdataEnd) {
+		if c == '>' && bytes.HasSuffix(s.item[s.tagStart:], cdataEnd) {
 			s.mode = inText
 		}
 	case inTag:
