Bound what XMPP clients together make the relay hold

Cause: the limits counted bytes of text. Attributes were parsed into a map, ten times their text, kept with each queued and unconfirmed stanza. And each client had limits of its own (half a megabyte in all), their sum had none.

Fix: tags are checked and not parsed, attributes are looked up in the text, at most 64 a tag. Before its request a client may send 10,000 bytes. What clients make the relay hold beyond 16 KB each is counted together and bounded by a quarter of the memory limit (64 MB without one); beyond it a stanza is answered with resource-constraint. An item is scanned when it is asked for, and no buffer of a large item is kept.

--- a/internal/lifecycle/front.go
+++ b/internal/lifecycle/front.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// clientBufferFraction is the part of the process's memory that may hold what clients have sent.
+const clientBufferFraction = 0.25
+
+// bufferLimit returns how many bytes of what clients have sent the relay may hold.
+func bufferLimit(memoryMB int) int { return int(float64(memoryMB<<20) * clientBufferFraction) }
+
 // runningFront is a front with its event loop.
 type runningFront struct {
 	requests *relay.RequestTable
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -134,6 +134,9 @@
 }
 
 func (p *process) addFront(front *runningFront) {
+	if p.platform != nil && p.platform.MemoryMB > 0 {
+		front.limiter.SetBufferLimit(bufferLimit(p.platform.MemoryMB))
+	}
 	p.fronts = append(p.fronts, front)
 	go func() { p.serveErr <- <-front.serveErr }()
 }
--- a/internal/wire/connlimit/limiter.go
+++ b/internal/wire/connlimit/limiter.go
@@ -1,5 +1,5 @@
 // Package connlimit limits the resources that clients may use on this relay: descriptors, time without a
-// request, kernel buffers and log lines. Both front ends accept their connections through it. It never closes
+// request, memory for what they have sent, kernel buffers and log lines. Both front ends accept their connections through it. It never closes
 // a connection itself: only the goroutine that reads a connection can tell whether its last line has been
 // received.
 package connlimit
@@ -36,6 +36,8 @@
 	// MaxEvicting bounds the evicted connections that have not closed yet. At the bound no connection is
 	// accepted. An evicted connection closes as soon as its goroutine has checked the received data once.
 	MaxEvicting = 8
+	// defaultBufferBytes is the limit on the memory for what clients have sent, if no other is set.
+	defaultBufferBytes = 64 << 20
 	// logLinesPerSecond bounds the log lines that faulty clients can cause.
 	logLinesPerSecond = 5
 	// acceptRetryDelay is the pause after a failed accept.
@@ -52,6 +54,8 @@
 	// Log receives messages about faulty clients. It is sampled, so that clients cannot flood the log.
 	Log zerolog.Logger
 
+	buffers bufferPool
+
 	mu                 sync.Mutex
 	descriptorLimit    int
 	descriptorsHeld    int
@@ -62,11 +66,12 @@
 	draining           bool      // connections without a request are closed
 }
 
-// New returns a Limiter that allows descriptorLimit descriptors.
+// New returns a Limiter that allows descriptorLimit descriptors and defaultBufferBytes of memory.
 func New(clock *relay.Clock, descriptorLimit int, log zerolog.Logger) *Limiter {
 	sampled := log.Sample(&zerolog.BurstSampler{Burst: logLinesPerSecond, Period: time.Second})
 	l := &Limiter{Clock: clock, Log: sampled}
 	l.evictionDone.L = &l.mu
+	l.SetBufferLimit(defaultBufferBytes)
 	l.SetDescriptorLimit(descriptorLimit)
 	return l
 }
@@ -78,6 +83,16 @@
 	l.descriptorLimit = descriptorLimit
 }
 
+// NewBufferAccount returns an account of the memory for what one client has sent.
+func (l *Limiter) NewBufferAccount() *BufferAccount { return &BufferAccount{pool: &l.buffers} }
+
+// SetBufferLimit changes the number of bytes that the relay may hold for its clients.
+func (l *Limiter) SetBufferLimit(bytes int) {
+	l.buffers.mu.Lock()
+	defer l.buffers.mu.Unlock()
+	l.buffers.capacity = bytes
+}
+
 // Serve accepts connections until the listener is closed, and then returns nil. It calls serve for each
 // connection in a new goroutine, and releases the permit when serve returns.
 func (l *Limiter) Serve(listener net.Listener, serve func(*Permit)) error {
@@ -135,6 +150,7 @@
 	permit := &Permit{
 		Conn:            &splice.Conn{NetConn: conn, Clock: l.Clock},
 		RequestDeadline: l.Clock.Now() + RequestTimeout,
+		Buffers:         l.NewBufferAccount(),
 		limiter:         l,
 		clientCounted:   true,
 	}
--- a/internal/wire/connlimit/permit.go
+++ b/internal/wire/connlimit/permit.go
@@ -14,6 +14,8 @@
 	Conn *splice.Conn
 	// RequestDeadline is the instant of the limiter's clock by which the client must have sent its request.
 	RequestDeadline time.Duration
+	// Buffers counts what the client has sent and the relay holds. It is closed with the permit.
+	Buffers *BufferAccount
 
 	// The fields below are guarded by the limiter's mu.
 	limiter        *Limiter
@@ -64,6 +66,7 @@
 
 // release stops counting all descriptors of the permit that are still counted.
 func (p *Permit) release() {
+	p.Buffers.close()
 	p.limiter.mu.Lock()
 	defer p.limiter.mu.Unlock()
 	p.releaseClient()
--- a/internal/wire/xmpp/conditions.go
+++ b/internal/wire/xmpp/conditions.go
@@ -31,6 +31,7 @@
 	errNotWellFormed = &streamError{notWellFormed}
 	errRestricted    = &streamError{restrictedXML}
 	errTooLarge      = &streamError{policyViolation}
+	errNoMemory      = &streamError{resourceConstraint}
 )
 
 // conditionOf returns the condition of a streamError, and noCondition for any other error.
--- a/internal/wire/xmpp/deliveries.go
+++ b/internal/wire/xmpp/deliveries.go
@@ -40,12 +40,18 @@
 type sentItem struct {
 	item
 	writtenAt time.Duration
+	isRequest bool   // it is an iq that the server must answer
+	id        string // of a request
 }
 
 // recordWrite records an item that is about to be written to the server, as a failed write may write it in
 // part.
 func (d *deliveries) recordWrite(it item, now time.Duration) {
-	d.unconfirmed = append(d.unconfirmed, sentItem{it, now})
+	sent := sentItem{item: it, writtenAt: now}
+	if it.name == "iq" && !isResponse(it) {
+		sent.isRequest, sent.id = true, it.attribute("id")
+	}
+	d.unconfirmed = append(d.unconfirmed, sent)
 	d.unconfirmedBytes += len(it.raw)
 	d.written++
 }
@@ -56,14 +62,15 @@
 	if it.name != "iq" {
 		return false
 	}
-	if number, ok := d.pingNumber(it.attrs["id"]); ok {
+	id := it.attribute("id")
+	if number, ok := d.pingNumber(id); ok {
 		if number == d.pings {
 			d.confirm(d.pingCovers, now)
 		}
 		return true
 	}
 	if isResponse(it) {
-		d.confirmRequest(it.attrs["id"], now)
+		d.confirmRequest(id, now)
 	}
 	return false
 }
@@ -78,13 +85,16 @@
 	return number, err == nil && 0 < number && number <= d.pings
 }
 
-// isResponse reports whether an iq answers another one.
-func isResponse(it item) bool { return it.attrs["type"] == "result" || it.attrs["type"] == "error" }
+// isResponse reports whether a stanza answers another one.
+func isResponse(it item) bool {
+	kind := it.attribute("type")
+	return kind == "result" || kind == "error"
+}
 
 // confirmRequest confirms the oldest unconfirmed iq request with an id, and all items written before it.
 func (d *deliveries) confirmRequest(id string, now time.Duration) {
 	for i, it := range d.unconfirmed {
-		if it.name == "iq" && it.attrs["id"] == id && !isResponse(it.item) {
+		if it.isRequest && it.id == id {
 			d.confirm(d.firstUnconfirmed()+i+1, now)
 			return
 		}
@@ -99,6 +109,7 @@
 	d.confirmedAt = now
 	for d.firstUnconfirmed() < count {
 		d.unconfirmedBytes -= len(d.unconfirmed[0].raw)
+		d.unconfirmed[0] = sentItem{} // the array behind the slice must not keep its text
 		d.unconfirmed = d.unconfirmed[1:]
 	}
 }
--- a/internal/wire/xmpp/encode.go
+++ b/internal/wire/xmpp/encode.go
@@ -56,7 +56,7 @@
 // encodeBounce returns the error stanza that answers an undeliverable stanza. It returns "" for stanzas that
 // must not be answered with an error: errors, results and other elements than message, presence and iq.
 func encodeBounce(it item) string {
-	if it.kind != firstLevelElement || it.attrs["type"] == "error" || it.attrs["type"] == "result" {
+	if it.kind != firstLevelElement || isResponse(it) {
 		return ""
 	}
 	if it.name != "message" && it.name != "presence" && it.name != "iq" {
@@ -65,7 +65,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "<%s type='error'", it.name)
 	for _, a := range [][2]string{{"id", "id"}, {"from", "to"}, {"to", "from"}} {
-		if v := it.attrs[a[1]]; v != "" {
+		if v := it.attribute(a[1]); v != "" {
 			fmt.Fprintf(&b, " %s='%s'", a[0], escape(v))
 		}
 	}
--- a/internal/wire/xmpp/frontend.go
+++ b/internal/wire/xmpp/frontend.go
@@ -38,7 +38,7 @@
 // serveClient serves one client until its connection and the one to its server are closed.
 func (f *Frontend) serveClient(permit *connlimit.Permit) {
 	half := permit.Conn
-	st := newStream(half)
+	st := newStream(half, permit.Buffers)
 	half.SetReadDeadline(permit.RequestDeadline)
 	reader, host, err := f.negotiate(st, permit.RequestDeadline)
 	var request *relay.Request
@@ -53,6 +53,7 @@
 		st.sendOutcome(resourceConstraint, encodeRetryAfter(connlimit.RetryAfter))
 	default:
 		half.SetReadDeadline(0)
+		reader.scanner.maxBytes = maxItemBytes
 		request = f.Requests.Open(relay.RequestParams{
 			Class:   host.Class,
 			Tenant:  host.Tenant,
@@ -68,7 +69,7 @@
 // negotiate reads the client's start tag, after STARTTLS if TLS is configured. until is the deadline for all
 // steps together. The error is a streamError or an error of the connection.
 func (f *Frontend) negotiate(st *stream, until time.Duration) (*itemReader, Host, error) {
-	reader := newItemReader(st.client.NetConn)
+	reader := newClientReader(st)
 	host, err := f.readHeader(st, reader)
 	config := f.TLS.Load()
 	if err != nil || config == nil {
@@ -93,11 +94,18 @@
 	st.client.Attach(tlsConn)
 	st.headerSent = false // the client starts a new stream and must be sent a new start tag
 	st.client.SetReadDeadline(until)
-	reader = newItemReader(tlsConn)
+	reader = newClientReader(st)
 	host, err = f.readHeader(st, reader)
 	return reader, host, err
 }
 
+// newClientReader returns a reader of what the client sends before its request.
+func newClientReader(st *stream) *itemReader {
+	reader := newItemReader(st.client.NetConn, maxHeaderBytes)
+	reader.account = st.account
+	return reader
+}
+
 // readHeader reads one start tag and returns the configuration of its host. It answers an invalid start tag
 // with a stream error.
 func (f *Frontend) readHeader(st *stream, reader *itemReader) (Host, error) {
@@ -110,12 +118,12 @@
 		}
 	case it.kind != streamHeader || it.name != "stream:stream":
 		violation = badFormat
-	case it.attrs["xmlns:stream"] != streamsNamespace || it.attrs["xmlns"] != clientNamespace:
+	case it.attribute("xmlns:stream") != streamsNamespace || it.attribute("xmlns") != clientNamespace:
 		violation = invalidNamespace
-	case it.attrs["version"] != "1.0":
+	case it.attribute("version") != "1.0":
 		violation = unsupportedVersion
 	}
-	st.clientHeader, st.host = it, it.attrs["to"]
+	st.clientHeader, st.host = it, it.attribute("to")
 	host, known := f.Hosts[st.host]
 	if violation == noCondition && !known {
 		violation = hostUnknown
--- a/internal/wire/xmpp/handshake.go
+++ b/internal/wire/xmpp/handshake.go
@@ -23,7 +23,7 @@
 // runProtocol runs the attempt until it is over. It returns no load report: load reports come from the
 // server's node in the endpoint list.
 func (a *attempt) runProtocol() (decide.Status, decide.LoadReport) {
-	a.reader = newItemReader(a.Conn.NetConn)
+	a.reader = newItemReader(a.Conn.NetConn, maxItemBytes)
 	return a.setUp(), decide.NoLoadReport
 }
 
@@ -167,6 +167,7 @@
 			return decide.Cancelled, true
 		}
 		s.forwarded = true
+		s.stream.account.Add(-len(it.raw))
 		if s.Conn.Forward(it.raw) != nil {
 			return decide.Reset, true
 		}
--- a/internal/wire/xmpp/item_reader.go
+++ b/internal/wire/xmpp/item_reader.go
@@ -1,6 +1,10 @@
 package xmpp
 
-import "net"
+import (
+	"net"
+
+	"capersail/internal/wire/connlimit"
+)
 
 // readBufferBytes is the size of one read from the connection.
 const readBufferBytes = 4096
@@ -10,35 +14,64 @@
 type itemReader struct {
 	conn    net.Conn
 	scanner scanner
-	items   []item
 	buffer  []byte
-	err     error // the scanner's error, returned after the items that precede it
+	unread  []byte // part of buffer that has been received and not been scanned
+	err     error  // the scanner's error, which all later calls return
+	// account counts the bytes of incomplete and returned items; nil for servers, whose items are forwarded at
+	// once.
+	account *connlimit.BufferAccount
 }
 
-func newItemReader(conn net.Conn) *itemReader {
-	return &itemReader{conn: conn, buffer: make([]byte, readBufferBytes)}
+// newItemReader returns a reader of items of up to maxBytes.
+func newItemReader(conn net.Conn, maxBytes int) *itemReader {
+	return &itemReader{
+		conn:    conn,
+		scanner: scanner{maxBytes: maxBytes},
+		buffer:  make([]byte, readBufferBytes),
+	}
 }
 
 // readItem returns the next item. The error is a streamError, which all later calls return too, or an error
-// of the connection.
+// of the connection. The bytes of a returned item stay in the account until its user takes them off.
 func (r *itemReader) readItem() (item, error) {
-	for len(r.items) == 0 {
-		if r.err != nil {
-			return item{}, r.err
+	for r.err == nil {
+		it, err := r.scan()
+		if err != nil {
+			r.err = err
+			break
+		}
+		if it != nil {
+			return *it, nil
 		}
 		n, err := r.conn.Read(r.buffer)
-		r.items, r.err = r.scanner.feed(r.buffer[:n])
-		if err != nil && len(r.items) == 0 && r.err == nil {
+		r.unread = r.buffer[:n]
+		if err != nil && n == 0 {
 			return item{}, err
 		}
 	}
-	it := r.items[0]
-	r.items = r.items[1:]
+	return item{}, r.err
+}
+
+// scan scans what has been received, up to the end of an item, and accounts for it.
+func (r *itemReader) scan() (*item, error) {
+	before := len(r.scanner.item)
+	it, rest, err := r.scanner.next(r.unread)
+	r.unread = rest
+	if err != nil || r.account == nil {
+		return it, err
+	}
+	grown := len(r.scanner.item) - before
+	if it != nil {
+		grown += len(it.raw)
+	}
+	if r.account.Add(grown) != nil {
+		return nil, errNoMemory
+	}
 	return it, nil
 }
 
 // drained reports whether no byte that was read is left over. This must hold before a TLS handshake, as bytes
 // before the handshake were sent in plaintext.
 func (r *itemReader) drained() bool {
-	return len(r.items) == 0 && len(r.scanner.item) == 0 && r.err == nil
+	return len(r.unread) == 0 && len(r.scanner.item) == 0 && r.err == nil
 }
--- a/internal/wire/xmpp/piped_stream_test.go
+++ b/internal/wire/xmpp/piped_stream_test.go
@@ -28,6 +28,7 @@
 	client  *peer
 	server  *peer
 	request *relay.Request
+	limiter *connlimit.Limiter
 	began   time.Time
 	// status receives the status of the attempt when it ends.
 	status chan decide.Status
@@ -43,8 +44,8 @@
 // newPipedStream starts both sides of the relay on an established stream.
 func newPipedStream(t *testing.T) *pipedStream {
 	p, current := newPipedAttempt(t)
-	current.reader = newItemReader(current.Conn.NetConn)
-	current.reader.scanner.feed([]byte(encodeHeader("s")))
+	current.reader = newItemReader(current.Conn.NetConn, maxItemBytes)
+	current.reader.scanner.next([]byte(encodeHeader("s")))
 	if p.request.Establish(0) == nil {
 		t.Fatal("the attempt was not established")
 	}
@@ -74,7 +75,8 @@
 	table.UpdateEndpoints(decide.Snapshot, []relay.Endpoint{{ID: "s", State: decide.Ready}})
 	client, clientEnd := net.Pipe()
 	server, serverEnd := net.Pipe()
-	st := newStream(&splice.Conn{NetConn: clientEnd, Clock: clock})
+	limiter := connlimit.New(clock, 1, zerolog.Nop())
+	st := newStream(&splice.Conn{NetConn: clientEnd, Clock: clock}, limiter.NewBufferAccount())
 	st.clientHeader.raw = []byte(encodeClientHeader("s"))
 	params := relay.RequestParams{Timeout: time.Minute, Payload: st}
 	request := table.Resume(params, "s", clientHalf{st.client, st})
@@ -95,17 +97,19 @@
 		client:  newPeer(client),
 		server:  newPeer(server),
 		request: request,
+		limiter: limiter,
 		began:   time.Now(),
 		status:  make(chan decide.Status, 1),
 	}
-	go p.runClientSide(&Frontend{Limiter: connlimit.New(clock, 1, zerolog.Nop())}, st)
+	go p.runClientSide(&Frontend{Limiter: limiter}, st)
 	return p, current
 }
 
 // runClientSide does what Frontend.serveClient does once the request is open.
 func (p *pipedStream) runClientSide(f *Frontend, st *stream) {
-	reader := newItemReader(st.client.NetConn)
-	reader.scanner.feed([]byte(encodeClientHeader("s")))
+	reader := newClientReader(st)
+	reader.scanner.maxBytes = maxItemBytes
+	reader.scanner.next([]byte(encodeClientHeader("s")))
 	f.forwardFromClient(p.request, st, reader)
 	st.client.NetConn.Close()
 }
@@ -205,7 +209,7 @@
 	defer p.mu.Unlock()
 	for _, e := range p.received {
 		matches := (name == "" || e.Name.Local == name) &&
-			(kind == "" || attributeOf(e, "type") == kind) && (id == "" || attributeOf(e, "id") == id)
+			(kind == "" || elementAttribute(e, "type") == kind) && (id == "" || elementAttribute(e, "id") == id)
 		if matches {
 			n++
 		}
@@ -220,7 +224,7 @@
 	return p.ended
 }
 
-func attributeOf(e xml.StartElement, name string) string {
+func elementAttribute(e xml.StartElement, name string) string {
 	for _, a := range e.Attr {
 		if a.Name.Local == name {
 			return a.Value
@@ -230,7 +234,9 @@
 }
 
 // isPing reports whether an element is a ping of the relay.
-func isPing(e xml.StartElement) bool { return strings.HasPrefix(attributeOf(e, "id"), "capersail-") }
+func isPing(e xml.StartElement) bool {
+	return strings.HasPrefix(elementAttribute(e, "id"), "capersail-")
+}
 
 // pass lets time pass on the bubble's clock until both sides of the relay wait.
 func pass(d time.Duration) {
--- a/internal/wire/xmpp/scanner.go
+++ b/internal/wire/xmpp/scanner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 )
 
@@ -9,6 +10,8 @@
 const (
 	maxDepth            = 32 // nested elements, the stream included
 	maxItemBytes        = 64 << 10
+	maxHeaderBytes      = 10_000  // an item before the request; RFC 6120, section 13.12, asks for as much
+	maxKeptBytes        = 4 << 10 // largest buffer that is kept for the next item
 	maxEntityBytes      = 8
 	maxDeclarationBytes = 256
 )
@@ -32,18 +35,21 @@
 	streamEnd                         // the stream's end tag
 )
 
-// item is one unit of a stream: its text as received, and the name and attributes of its outermost tag.
+// item is one unit of a stream: its text as received, and the name of its outermost tag.
 type item struct {
-	kind  itemKind
-	raw   []byte
-	name  string
-	attrs map[string]string
+	kind itemKind
+	raw  []byte
+	name string
 }
 
+// attribute returns the value of an attribute of the outermost tag, "" if there is none.
+func (it item) attribute(name string) string { return attributeOf(it.raw, name) }
+
 // scanner splits a stream into items. It processes single bytes, so a read may end anywhere in an item. It
 // rejects what RFC 6120 restricts: document types, processing instructions, comments and entities that XML
 // does not predefine.
 type scanner struct {
+	maxBytes    int    // limit on an item's text
 	item        []byte // the text so far of the current item
 	tagStart    int    // offset in item of the latest tag
 	mode        scanMode
@@ -52,7 +58,7 @@
 	openTags    []string // names of the open elements, outermost first
 	started     bool     // a tag or XML declaration was read: no declaration may follow before a restart
 	restarted   bool     // the stream has been restarted, which happens once, after SASL
-	outermost   item     // kind, name and attributes of the current item's outermost tag
+	outermost   item     // kind and name of the current item's outermost tag
 }
 
 // scanMode is the syntactic context of the next byte.
@@ -65,19 +71,16 @@
 	inEntity
 )
 
-// feed processes bytes and returns the items that they complete. The error is a streamError; feed must not be
-// called after an error.
-func (s *scanner) feed(p []byte) (items []item, err error) {
-	for _, c := range p {
+// next processes bytes up to the end of an item. It returns the item, or nil if there is none yet, and the
+// bytes behind it. The error is a streamError; next must not be called after an error.
+func (s *scanner) next(p []byte) (it *item, rest []byte, err error) {
+	for i, c := range p {
 		it, err := s.scanByte(c)
-		if err != nil {
-			return items, err
-		}
-		if it != nil {
-			items = append(items, *it)
+		if err != nil || it != nil {
+			return it, p[i+1:], err
 		}
 	}
-	return items, nil
+	return nil, nil, nil
 }
 
 // scanByte processes one byte and returns the item that it completes, or nil.
@@ -91,7 +94,7 @@
 		}
 		return nil, errNotWellFormed
 	}
-	if len(s.item) >= maxItemBytes {
+	if len(s.item) >= s.maxBytes {
 		return nil, errTooLarge
 	}
 	s.item = append(s.item, c)
@@ -159,7 +162,7 @@
 		return nil, nil
 	}
 	s.started, s.mode = true, inText
-	return s.handleTag(string(tag[1 : len(tag)-1]))
+	return s.handleTag(tag[1 : len(tag)-1])
 }
 
 // scanMarkup processes the beginning of a CDATA section. It rejects document types and comments.
@@ -192,9 +195,9 @@
 }
 
 // handleTag processes a complete tag, without its brackets, and returns the item that it completes, or nil.
-func (s *scanner) handleTag(tag string) (*item, error) {
-	if name, end := strings.CutPrefix(tag, "/"); end {
-		return s.handleEndTag(strings.TrimRight(name, whitespace))
+func (s *scanner) handleTag(tag []byte) (*item, error) {
+	if name, end := bytes.CutPrefix(tag, []byte("/")); end {
+		return s.handleEndTag(string(bytes.TrimRight(name, whitespace)))
 	}
 	return s.handleStartTag(tag)
 }
@@ -214,14 +217,14 @@
 	return nil, nil
 }
 
-func (s *scanner) handleStartTag(tag string) (*item, error) {
-	text, empty := strings.CutSuffix(tag, "/")
-	name, attrs, err := parseTag(text)
+func (s *scanner) handleStartTag(tag []byte) (*item, error) {
+	text, empty := bytes.CutSuffix(tag, []byte("/"))
+	name, err := checkTag(text)
 	if err != nil {
 		return nil, err
 	}
 	if len(s.openTags) < 2 {
-		s.outermost = item{kind: firstLevelElement, name: name, attrs: attrs}
+		s.outermost = item{kind: firstLevelElement, name: name}
 	}
 	if name == "stream:stream" && len(s.openTags) == 1 && !s.restarted && !empty {
 		s.restarted, s.openTags = true, s.openTags[:0]
@@ -249,35 +252,10 @@
 // completeItem returns the current item, which is complete, and prepares for the next one.
 func (s *scanner) completeItem() *item {
 	it := s.outermost
-	it.raw = append([]byte(nil), s.item...)
+	it.raw = slices.Clone(s.item)
 	s.item = s.item[:0]
-	return &it
-}
-
-// parseTag parses a start tag, without its brackets, into its name and attributes.
-func parseTag(tag string) (name string, attrs map[string]string, err error) {
-	name = tag
-	if i := strings.IndexAny(tag, whitespace); i >= 0 {
-		name, tag = tag[:i], tag[i:]
-	} else {
-		tag = ""
+	if cap(s.item) > maxKeptBytes { // else each connection would hold on to its largest item
+		s.item = nil
 	}
-	if name == "" || strings.ContainsAny(name, "<>&'\"=/") {
-		return "", nil, errNotWellFormed
-	}
-	attrs = map[string]string{}
-	for tag = strings.Trim(tag, whitespace); tag != ""; tag = strings.TrimLeft(tag, whitespace) {
-		key, rest, ok := strings.Cut(tag, "=")
-		key, rest = strings.TrimRight(key, whitespace), strings.TrimLeft(rest, whitespace)
-		quoted := rest != "" && (rest[0] == '"' || rest[0] == '\'')
-		if !ok || key == "" || strings.ContainsAny(key, whitespace+"'\"") || !quoted {
-			return "", nil, errNotWellFormed
-		}
-		end := strings.IndexByte(rest[1:], rest[0])
-		if _, twice := attrs[key]; end < 0 || twice {
-			return "", nil, errNotWellFormed
-		}
-		attrs[key], tag = rest[1:end+1], rest[end+2:]
-	}
-	return name, attrs, nil
+	return &it
 }
--- a/internal/wire/xmpp/scanner_test.go
+++ b/internal/wire/xmpp/scanner_test.go
@@ -5,6 +5,18 @@
 	"testing"
 )
 
+// feed processes bytes and returns the items that they complete.
+func (s *scanner) feed(p []byte) (items []item, err error) {
+	for len(p) > 0 {
+		var it *item
+		if it, p, err = s.next(p); it == nil || err != nil {
+			return items, err
+		}
+		items = append(items, *it)
+	}
+	return items, nil
+}
+
 // FuzzItemsDoNotDependOnReads checks that the items do not depend on where reads end, and that the limits
 // hold.
 func FuzzItemsDoNotDependOnReads(f *testing.F) {
@@ -15,7 +27,7 @@
 	f.Add([]byte(start + "<a>&own;</a>"))
 	f.Add([]byte(start + "<a><!-- no --></a>"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		var whole, bytes scanner
+		whole, bytes := scanner{maxBytes: maxItemBytes}, scanner{maxBytes: maxItemBytes}
 		wholeItems, wholeErr := whole.feed(text)
 		var byteItems []item
 		var bytesErr error
--- a/internal/wire/xmpp/server_dialer.go
+++ b/internal/wire/xmpp/server_dialer.go
@@ -55,7 +55,7 @@
 	defer conn.Close()
 	conn.SetDeadline(s.Clock.WallDeadline(s.Clock.Now() + s.ConnectTimeout))
 	conn.Write([]byte(xmlDeclaration + encodeClientHeader(s.ProbeHost))) // the read returns the same error
-	it, err := newItemReader(conn).readItem()
+	it, err := newItemReader(conn, maxItemBytes).readItem()
 	switch {
 	case splice.TimedOut(err):
 		return decide.TimedOut, report
--- a/internal/wire/xmpp/silence_test.go
+++ b/internal/wire/xmpp/silence_test.go
@@ -29,7 +29,7 @@
 
 // answer answers an iq.
 func (p *peer) answer(e xml.StartElement) {
-	p.send("<iq type='result' id='%s'/>", attributeOf(e, "id"))
+	p.send("<iq type='result' id='%s'/>", elementAttribute(e, "id"))
 }
 
 func (p *pipedStream) pushAlerts() {
@@ -158,7 +158,7 @@
 		defer p.close()
 		const unanswered = "q40"
 		p.server.readAll(func(e xml.StartElement) {
-			if e.Name.Local == "iq" && attributeOf(e, "id") != unanswered {
+			if e.Name.Local == "iq" && elementAttribute(e, "id") != unanswered {
 				p.server.answer(e)
 			}
 		})
--- a/internal/wire/xmpp/stanzas.go
+++ b/internal/wire/xmpp/stanzas.go
@@ -65,7 +65,10 @@
 // forwardToClient forwards an item of the server to the client, unless it answers a ping of the relay. An
 // error means that the stream has ended at the client.
 func (a *attempt) forwardToClient(it item) error {
-	if a.deliveries.recordReceived(it, a.listeningTime()) {
+	unconfirmed := a.deliveries.unconfirmedBytes
+	answersPing := a.deliveries.recordReceived(it, a.listeningTime())
+	a.stream.account.Add(a.deliveries.unconfirmedBytes - unconfirmed)
+	if answersPing {
 		return nil
 	}
 	began := a.dialer.Clock.Now()
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"capersail/internal/relay"
+	"capersail/internal/wire/connlimit"
 	"capersail/internal/wire/splice"
 )
 
@@ -25,8 +26,9 @@
 // that the client has sent. Only the server side removes items from the queue, so no item is sent twice.
 type stream struct {
 	client       *splice.Conn
-	clientHeader item   // the client's latest start tag
-	host         string // the host that the start tag names
+	account      *connlimit.BufferAccount // of what the client has sent and no server has confirmed
+	clientHeader item                     // the client's latest start tag
+	host         string                   // the host that the start tag names
 
 	// writeMu makes each write to the client complete before the next. It may be held for as long as a write
 	// takes, and is locked before mu.
@@ -43,8 +45,8 @@
 	condition   condition // overrides the stream error that follows from the request's answer
 }
 
-func newStream(client *splice.Conn) *stream {
-	st := &stream{client: client}
+func newStream(client *splice.Conn, account *connlimit.BufferAccount) *stream {
+	st := &stream{client: client, account: account}
 	st.changed = sync.NewCond(&st.mu)
 	return st
 }
@@ -73,6 +75,7 @@
 		return item{}, false
 	}
 	it := st.queue[0]
+	st.queue[0] = item{} // the array behind the slice must not keep its text
 	st.queue = st.queue[1:]
 	st.queuedBytes -= len(it.raw)
 	st.changed.Signal()
