Give each caller of the admin address and the control sockets its time

Heads of many fields and queries of many names took 0.99 to 1.00 of the core.

Cause: at its limit the admin address closed the oldest connection without a call. Beside callers that connect over and over, one that had connected a millisecond before was the oldest. The control socket closed the new connection instead. Neither bounded calls a second. Ruled out: time-outs, as each failed within 51 ms.

Fix: both use one listener (wire/shortcall). A connection without a complete call is closed for another one after 25 ms at the earliest; the next one waits meanwhile, and all wait for a rate. Heads are bounded by 5 KiB in all, queries by 16 KiB. A rejected head no longer counts as a call, as the HTTP server holds its connection for half a second.

The tests failed before (the first with the time taken out): listener_test.go:65: a caller was closed for the next one after 1ms, want 25ms listen_test.go:68: half a query from 80 clients: another's query got error reading the relay's reply: [...] reset by peer

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"capersail/internal/manualeject"
+	"capersail/internal/wire/shortcall"
 )
 
 const (
@@ -23,6 +24,11 @@
 	// MaxConnections bounds the connections that are open at once. A connection over the limit closes the
 	// oldest one that has not sent a complete call, so that many silent callers evict only each other.
 	MaxConnections = 32
+	// callsPerSecond bounds the processor time that callers who call over and over can use.
+	callsPerSecond = 1000
+	// maxHeadBytes bounds the head of a call, besides the 4 KiB that package http adds. Fields take a multiple
+	// of their text once they are parsed.
+	maxHeadBytes = 1 << 10
 )
 
 // ErrNeverListed is returned for a server that has never been in an endpoint list.
@@ -44,7 +50,7 @@
 // Server serves the admin address.
 type Server struct {
 	http     *http.Server
-	listener *boundedListener
+	listener *shortcall.Listener
 	relay    Relay
 	log      zerolog.Logger
 }
@@ -55,8 +61,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	bounded := &boundedListener{Listener: l, limit: MaxConnections, awaitingCall: map[net.Conn]bool{}}
-	s := &Server{relay: relay, log: log, listener: bounded}
+	limits := shortcall.Limits{Connections: MaxConnections, AcceptsPerSecond: callsPerSecond}
+	s := &Server{relay: relay, log: log, listener: shortcall.NewListener(l, limits)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", s.handleReadiness)
 	metrics := promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError})
@@ -66,13 +72,14 @@
 	mux.HandleFunc("POST /ops/drain/start", s.drainHandler(true))
 	mux.HandleFunc("POST /ops/drain/stop", s.drainHandler(false))
 	s.http = &http.Server{
-		Handler:           closeAfterCall(mux),
+		Handler:           s.serveOneCall(mux),
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: callTimeout,
 		ReadTimeout:       callTimeout,
 		WriteTimeout:      callTimeout,
 		IdleTimeout:       callTimeout,
-		MaxHeaderBytes:    8 << 10,
-		ConnState:         s.listener.trackState,
+		MaxHeaderBytes:    maxHeadBytes,
+		ConnState:         s.trackState,
 	}
 	s.http.SetKeepAlivesEnabled(false)
 	return s, nil
@@ -92,15 +99,32 @@
 // Close stops listening and closes every connection.
 func (s *Server) Close() error { return s.http.Shutdown(closedContext()) }
 
+// trackState reports closed connections to the listener.
+func (s *Server) trackState(c net.Conn, st http.ConnState) {
+	if st == http.StateClosed {
+		s.listener.Closed(c)
+	}
+}
+
+// connectionKey is the key of a call's connection in the call's context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
 func closedContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	return ctx
 }
 
-// closeAfterCall has the connection closed after every response.
-func closeAfterCall(h http.Handler) http.Handler {
+// serveOneCall reports to the listener that a call has arrived, and has its connection closed after the
+// response. The HTTP server itself counts a connection as active from its first byte on, also one whose call
+// it rejects, and keeps such a connection for half a second.
+func (s *Server) serveOneCall(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.listener.CallArrived(r.Context().Value(connectionKey{}).(net.Conn))
 		w.Header().Set("Connection", "close")
 		h.ServeHTTP(w, r)
 	})
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -173,11 +173,9 @@
 			t.Fatalf("readiness beside silent callers: got status %d, want 200", code)
 		}
 	}
-	s.listener.mu.Lock()
-	if held := len(s.listener.awaitingCall); held > MaxConnections {
+	if held := s.listener.Open(); held > MaxConnections {
 		t.Errorf("%d connections are open, want at most %d", held, MaxConnections)
 	}
-	s.listener.mu.Unlock()
 	// Each is closed, by eviction or by its timeout; a response with status 408 is accepted too.
 	for i, c := range silent {
 		c.SetReadDeadline(time.Now().Add(30 * time.Second))
@@ -187,3 +185,23 @@
 		}
 	}
 }
+
+// Callers whose heads are too large are rejected, and their connections stay open for half a second more. That
+// must not keep others waiting: every call has to be answered within callTimeout.
+func TestRejectedCallersDoNotBlockOthers(t *testing.T) {
+	base, _, _ := startServerAndGet(t)
+	address := strings.TrimPrefix(base, "http://")
+	for range 10 * MaxConnections {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		go fmt.Fprint(c, "GET /ops/readiness HTTP/1.1\r\nA: "+strings.Repeat("x", 60_000))
+	}
+	began := time.Now()
+	code, _, _ := call(t, "GET", base+"/ops/readiness")
+	if took := time.Since(began); code != 200 || took > callTimeout {
+		t.Errorf("readiness beside rejected callers: got status %d after %v, want 200 within %v", code, took, callTimeout)
+	}
+}
--- a/internal/control/listen_test.go
+++ b/internal/control/listen_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
+
+	"capersail/internal/observe/report"
 )
 
 // A daemon that is too busy to accept is alive. Its socket was taken for a dead one and removed, since any
@@ -36,3 +41,33 @@
 		s.Close()
 	}
 }
+
+// Clients that send no complete query, or one that is too large, held all connections, and every other client
+// was closed without an answer.
+func TestIncompleteQueriesDoNotBlockOthers(t *testing.T) {
+	for name, text := range map[string]string{
+		"half a query":   `{"servers":["`,
+		"too many names": `{"servers":["` + strings.Repeat(`","`, maxQueryBytes) + "\"]}\n",
+	} {
+		path := filepath.Join(t.TempDir(), "c.sock")
+		s, err := Listen(path, Sources{}, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 5 * maxConnections {
+			conn, err := net.Dial("unix", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			go io.WriteString(conn, text)
+		}
+		began := time.Now()
+		_, err = QueryTimelines(path, report.Query{})
+		if took := time.Since(began); err != nil || took > queryTimeout {
+			t.Errorf("%s from %d clients: another's query got error %v after %v, want an answer within %v",
+				name, 5*maxConnections, err, took, queryTimeout)
+		}
+		s.Close()
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,14 +18,16 @@
 	"capersail/internal/fleet/probing"
 	"capersail/internal/observe/anomaly"
 	"capersail/internal/observe/watch"
+	"capersail/internal/wire/shortcall"
 )
 
 const (
 	queryTimeout     = time.Second // to read the query
 	writeTimeout     = time.Second // for each reply; a client that does not read is disconnected
 	acceptRetryDelay = 100 * time.Millisecond
-	maxConnections   = 16
-	maxQueryBytes    = 64 << 10
+	maxConnections   = 24 // more than may follow events, so that others can query
+	maxQueryBytes    = 16 << 10
+	queriesPerSecond = 400 // bounds the processor time that clients who query over and over can use
 )
 
 // ErrSocketInUse is returned by Listen if another daemon answers on the socket.
@@ -47,10 +49,9 @@
 // Server answers queries on up to maxConnections connections at once. Listen starts its goroutines, and Close
 // ends them.
 type Server struct {
-	listener        net.Listener
-	sources         Sources
-	log             zerolog.Logger
-	connectionSlots chan struct{} // holds one element per open connection
+	listener *shortcall.Listener
+	sources  Sources
+	log      zerolog.Logger
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -68,12 +69,12 @@
 	if err != nil {
 		return nil, err
 	}
+	limits := shortcall.Limits{Connections: maxConnections, AcceptsPerSecond: queriesPerSecond}
 	s := &Server{
-		listener:        l,
-		sources:         sources,
-		log:             log,
-		connectionSlots: make(chan struct{}, maxConnections),
-		conns:           map[net.Conn]bool{},
+		listener: shortcall.NewListener(l, limits),
+		sources:  sources,
+		log:      log,
+		conns:    map[net.Conn]bool{},
 	}
 	go s.acceptLoop()
 	return s, nil
@@ -118,12 +119,6 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		select {
-		case s.connectionSlots <- struct{}{}:
-		default:
-			conn.Close()
-			continue
-		}
 		s.mu.Lock()
 		s.conns[conn] = true
 		s.mu.Unlock()
@@ -133,7 +128,7 @@
 			s.mu.Lock()
 			delete(s.conns, conn)
 			s.mu.Unlock()
-			<-s.connectionSlots
+			s.listener.Closed(conn)
 		}()
 	}
 }
@@ -143,6 +138,7 @@
 	in := bufio.NewReaderSize(conn, maxQueryBytes)
 	out := replyWriter{conn}
 	q, err := readQuery(in)
+	s.listener.CallArrived(conn)
 	switch {
 	case err != nil:
 		out.send(reply{Error: "cannot read the query: " + err.Error()})
