Forward nothing for a client that left with much still unread

A client that sent more than the relay queues and closed its connection was not noticed: its stream was opened at the server afterwards, with its SASL and 447 stanzas, or, once established, 436 (after a close) and 346 (after a reset) of its stanzas were sent on when the server confirmed again. Not shown on the platform's front, where anything unread denies the first line.

Cause: two things stood for "the client has left". The reader learns of it when it reads the end, but it does not read while the queue is full; and PeerClosed looked at the next unread byte, so that unread data hid the close. Ruled out: the queue itself, as the client's end does wake the server side, once it is read.

Fix: the kernel is asked for the peer's close, not for the next byte. A reader that waits, for room or for its rate, looks every 20 ms; the client counts as gone at once after a reset, and 80 ms after a close, so that what it sent just before still goes out. The attempt's check before its first byte uses the same.

TestUnreadIsSeenAndNotConsumed asked that PeerClosed be false for a close behind unread bytes, which is this fault. It asks for true now, for a reset as well.

--- a/internal/lifecycle/xmpp_test.go
+++ b/internal/lifecycle/xmpp_test.go
@@ -87,9 +87,15 @@
 	}
 	b.t.Cleanup(s.Kill)
 	b.setNode(name, s, "Ready")
+	b.awaitServer(name)
+	return s
+}
+
+// awaitServer waits until the relay has read a server's node.
+func (b *xmppFixture) awaitServer(name string) {
 	for i := 0; ; i++ {
 		if _, ok := b.front.requests.Server(name); ok {
-			return s
+			return
 		}
 		if i > 1000 {
 			b.t.Fatal("the relay did not list the server within 10 s of its node's creation")
--- a/internal/wire/connlimit/pace.go
+++ b/internal/wire/connlimit/pace.go
@@ -25,14 +25,15 @@
 )
 
 // Pace waits until the relay may process input of the client: a number of lines or stanzas, or of bytes. It
-// returns early if the connection is woken or closed. Only the goroutine that reads the client calls it.
-func (p *Permit) Pace(messages, bytes int) {
+// returns early if the connection is woken or closed. If the client has left, the error is that of
+// splice.Conn.PeerGone, and the input must not be processed. Only the goroutine that reads the client calls it.
+func (p *Permit) Pace(messages, bytes int) error {
 	units := messages + bytes/inputUnitBytes
 	now := time.Now()
-	if units == 0 || p.ownRate.AllowN(now, units) {
-		return
+	if units > 0 && !p.ownRate.AllowN(now, units) {
+		p.Conn.Pause(p.limiter.sharedRate.ReserveN(now, units).DelayFrom(now))
 	}
-	p.Conn.Pause(p.limiter.sharedRate.ReserveN(now, units).DelayFrom(now))
+	return p.Conn.PeerGone()
 }
 
 // paceAccept waits until one more connection may be accepted.
--- a/internal/wire/platform/lines.go
+++ b/internal/wire/platform/lines.go
@@ -19,8 +19,9 @@
 	conn     net.Conn
 	buffered *bufio.Reader
 	partial  []byte // start of a line whose read was interrupted by a deadline
-	// pace is called with the size of each line before it is returned; nil for servers.
-	pace func(messages, bytes int)
+	// pace is called with the size of each line before it is returned; nil for servers. Its error ends the
+	// connection's input.
+	pace func(messages, bytes int) error
 }
 
 func newLineReader(conn net.Conn) *lineReader {
@@ -38,8 +39,11 @@
 // readLine returns the next line, at the pace of its sender; see readNext.
 func (l *lineReader) readLine() ([]byte, error) {
 	line, err := l.readNext()
-	if l.pace != nil && len(line) > 0 {
-		l.pace(1, len(line))
+	if l.pace == nil || len(line) == 0 {
+		return line, err
+	}
+	if gone := l.pace(1, len(line)); gone != nil {
+		return nil, gone
 	}
 	return line, err
 }
--- a/internal/wire/splice/conn.go
+++ b/internal/wire/splice/conn.go
@@ -44,6 +44,11 @@
 	// pauseEnd holds an element once the connection has been woken or closed since the last pause. It is nil
 	// until pauseChannel is first called.
 	pauseEnd chan struct{}
+
+	// The state of PeerGone, which only the goroutine that reads the connection uses.
+	peerCheckedAt time.Duration
+	peerEndedAt   time.Duration // when the peer was first seen to have closed in order, 0 for never
+	peerGone      error
 }
 
 // Attach sets the network connection after the dial. It reports whether the Conn has not been closed
@@ -84,17 +89,21 @@
 }
 
 // Pause blocks the goroutine that reads the connection for a duration, or until the connection is woken or
-// closed.
+// closed, or its peer is gone.
 func (c *Conn) Pause(d time.Duration) {
-	if d <= 0 {
-		return
-	}
 	c.mu.Lock()
 	end := c.pauseChannel()
 	c.mu.Unlock()
-	select {
-	case <-end:
-	case <-time.After(d):
+	for until := c.Clock.Now() + d; c.PeerGone() == nil; {
+		left := until - c.Clock.Now()
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-end:
+			return
+		case <-time.After(min(left, PeerCheckInterval)):
+		}
 	}
 }
 
--- a/internal/wire/splice/conn_test.go
+++ b/internal/wire/splice/conn_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// HasUnread and PeerClosed report received data and the end of the stream without blocking, whatever the read
-// deadline is, and consume neither.
+// HasUnread reports received data and the end of the stream, and PeerClosed reports the end, also behind data
+// that has not been read. Neither blocks, whatever the read deadline is, or consumes anything.
 func TestUnreadIsSeenAndNotConsumed(t *testing.T) {
 	for name, c := range map[string]struct {
 		does  func(peer *net.TCPConn)
@@ -55,7 +55,8 @@
 		"a close":           {func(p *net.TCPConn) { p.Close() }, true},
 		"a half-close":      {func(p *net.TCPConn) { p.CloseWrite() }, true},
 		"a reset":           {func(p *net.TCPConn) { p.SetLinger(0); p.Close() }, true},
-		"bytes, then close": {func(p *net.TCPConn) { p.Write([]byte("x")); p.Close() }, false},
+		"bytes, then close": {func(p *net.TCPConn) { p.Write([]byte("x")); p.Close() }, true},
+		"bytes, then reset": {func(p *net.TCPConn) { p.Write([]byte("x")); p.SetLinger(0); p.Close() }, true},
 	} {
 		e, peer := newPair(t)
 		if e.HasUnread() || e.PeerClosed() {
@@ -64,6 +65,11 @@
 		c.does(peer)
 		e.Wake()
 		awaitUnread(t, e)
+		for until := time.Now().Add(10 * time.Second); c.ended && !e.PeerClosed(); time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				break // the close may arrive after the bytes, but not as late
+			}
+		}
 		if !e.HasUnread() || e.PeerClosed() != c.ended {
 			t.Errorf("%s: HasUnread %v, want true; PeerClosed %v, want true only for the end of the stream",
 				name, e.HasUnread(), e.PeerClosed())
@@ -71,6 +77,31 @@
 	}
 }
 
+// A peer is gone at once after a reset, and leaveGrace after a close, whatever it sent before. What it sent was
+// forwarded for as long as it lay unread.
+func TestPeerIsGoneBehindUnreadData(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave func(peer *net.TCPConn)
+		want  error
+	}{
+		"a close":      {func(p *net.TCPConn) { p.Close() }, io.EOF},
+		"a half-close": {func(p *net.TCPConn) { p.CloseWrite() }, io.EOF},
+		"a reset":      {func(p *net.TCPConn) { p.SetLinger(0); p.Close() }, syscall.ECONNRESET},
+	} {
+		e, peer := newPair(t)
+		peer.Write([]byte("unread"))
+		awaitUnread(t, e)
+		if err := e.PeerGone(); err != nil {
+			t.Errorf("before %s: got %v, want nil", name, err)
+		}
+		c.leave(peer)
+		e.Pause(10 * time.Second) // ends once the peer is gone
+		if err := e.PeerGone(); !errors.Is(err, c.want) {
+			t.Errorf("after %s behind unread data: got %v, want %v", name, err, c.want)
+		}
+	}
+}
+
 // ReadPending returns data that was received before the read deadline passed. An ordinary read after the
 // deadline returns no data, so that the last line of a client would be lost.
 func TestReadPendingAfterTheDeadline(t *testing.T) {
--- a/internal/wire/splice/descriptor.go
+++ b/internal/wire/splice/descriptor.go
@@ -3,8 +3,11 @@
 import (
 	"crypto/tls"
 	"errors"
+	"io"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxPendingBytes is the maximum length of a line of the protocols.
@@ -26,8 +29,68 @@
 // received and not been read yet.
 func (c *Conn) HasUnread() bool { return c.peek() >= 0 }
 
-// PeerClosed reports, without blocking, whether the next read would return the end of the stream.
-func (c *Conn) PeerClosed() bool { return c.peek() == 0 }
+const (
+	// leaveGrace is how long after its peer has closed in order a connection's input may still be forwarded.
+	// A request must not be begun later than 0.1 s after its client has left.
+	leaveGrace = 80 * time.Millisecond
+	// PeerCheckInterval is the interval at which a connection that is not read must be checked by PeerGone.
+	PeerCheckInterval = 20 * time.Millisecond
+)
+
+// peerClose is how a peer has closed its connection.
+type peerClose uint8
+
+const (
+	peerOpen   peerClose = iota
+	peerEnded            // in order: the peer sends nothing more
+	peerBroken           // with a reset
+)
+
+// PeerClosed reports, without blocking, whether the peer has closed its connection, also if that is behind data
+// that has not been read.
+func (c *Conn) PeerClosed() bool { return c.pollPeer() != peerOpen }
+
+// PeerGone returns an error if what the peer has sent must not be forwarded any more: io.EOF if it has closed
+// its connection in order leaveGrace ago or earlier, ECONNRESET if it has reset it. Only the goroutine that
+// reads the connection calls it. It may be called for each message.
+func (c *Conn) PeerGone() error {
+	now := c.Clock.Now()
+	if now-c.peerCheckedAt < PeerCheckInterval {
+		return c.peerGone
+	}
+	c.peerCheckedAt = now
+	switch c.pollPeer() {
+	case peerOpen:
+	case peerBroken:
+		c.peerGone = syscall.ECONNRESET
+	case peerEnded:
+		if c.peerEndedAt == 0 {
+			c.peerEndedAt = now
+		}
+		if now-c.peerEndedAt >= leaveGrace-PeerCheckInterval && c.peerGone == nil {
+			c.peerGone = io.EOF
+		}
+	}
+	return c.peerGone
+}
+
+// pollPeer asks the kernel whether the peer has closed the connection.
+func (c *Conn) pollPeer() peerClose {
+	found := peerOpen
+	c.controlDescriptor(func(fd int) (int, error) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		switch {
+		case n <= 0:
+		case poll[0].Revents&unix.POLLERR != 0:
+			found = peerBroken
+		case poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0:
+			found = peerEnded
+		}
+		return n, err
+	})
+	return found
+}
 
 // peek returns 1 if data can be read without blocking, 0 at the end of the stream, and a negative number if
 // nothing has been received.
--- a/internal/wire/xmpp/frontend.go
+++ b/internal/wire/xmpp/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -141,10 +142,14 @@
 		it, err := reader.readItem()
 		switch {
 		case err == nil:
-			if !st.push(it) {
+			switch err := st.push(it); {
+			case errors.Is(err, errStreamEnded):
 				_, answer := request.State()
 				writeAnswer(st, answer)
 				return
+			case err != nil:
+				request.ClientClosed(splice.CloseKindOf(err))
+				return
 			}
 			request.WakeServerSide()
 		case splice.TimedOut(err):
@@ -170,11 +175,11 @@
 }
 
 // forwardClientClose ends the request of a client that has closed its connection. After a graceful close the
-// stanzas that are still in the queue are forwarded first.
+// stanzas that are still in the queue are forwarded first, for as long as splice.Conn.PeerGone allows.
 func forwardClientClose(request *relay.Request, st *stream, closeKind relay.CloseKind) {
 	state, _ := request.State()
 	if closeKind == relay.GracefulClose && state == relay.Established {
-		if st.push(item{kind: streamEnd, raw: []byte(streamEndTag)}) {
+		if st.push(item{kind: streamEnd, raw: []byte(streamEndTag)}) == nil {
 			request.WakeServerSide()
 			st.awaitEnd()
 		}
--- a/internal/wire/xmpp/item_reader.go
+++ b/internal/wire/xmpp/item_reader.go
@@ -20,8 +20,9 @@
 	// account counts the bytes of incomplete and returned items; nil for servers, whose items are forwarded at
 	// once.
 	account *connlimit.BufferAccount
-	// pace is called with the size of each read, and with each item before it is returned; nil for servers.
-	pace func(messages, bytes int)
+	// pace is called with the size of each read, and with each item before it is returned; nil for servers. Its
+	// error ends the connection's input.
+	pace func(messages, bytes int) error
 }
 
 // newItemReader returns a reader of items of up to maxBytes.
@@ -43,11 +44,12 @@
 			break
 		}
 		if it != nil {
-			r.wait(1, 0)
-			return *it, nil
+			return *it, r.wait(1, 0)
 		}
 		n, err := r.conn.Read(r.buffer)
-		r.wait(0, n)
+		if gone := r.wait(0, n); gone != nil && n > 0 {
+			return item{}, gone
+		}
 		r.unread = r.buffer[:n]
 		if err != nil && n == 0 {
 			return item{}, err
@@ -56,11 +58,12 @@
 	return item{}, r.err
 }
 
-// wait paces the sender.
-func (r *itemReader) wait(messages, bytes int) {
-	if r.pace != nil {
-		r.pace(messages, bytes)
+// wait paces the sender. The error says that the sender has left.
+func (r *itemReader) wait(messages, bytes int) error {
+	if r.pace == nil {
+		return nil
 	}
+	return r.pace(messages, bytes)
 }
 
 // scan scans what has been received, up to the end of an item, and accounts for it.
--- a/internal/wire/xmpp/stream.go
+++ b/internal/wire/xmpp/stream.go
@@ -1,9 +1,11 @@
 package xmpp
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"capersail/internal/relay"
 	"capersail/internal/wire/connlimit"
@@ -51,20 +53,38 @@
 	return st
 }
 
+// errStreamEnded is returned by push once the stream has ended.
+var errStreamEnded = errors.New("stream ended")
+
 // push queues an item from the client. It blocks while the queue is full, so that the client's connection is
-// not read. It returns false once the stream has ended.
-func (st *stream) push(it item) bool {
+// not read. The error is errStreamEnded, or that of splice.Conn.PeerGone if the client has left meanwhile.
+func (st *stream) push(it item) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for (len(st.queue) >= maxQueuedItems || st.queuedBytes >= maxQueuedBytes) && !st.ended {
-		st.changed.Wait()
+		if gone := st.client.PeerGone(); gone != nil {
+			return gone
+		}
+		st.waitForChange(splice.PeerCheckInterval)
 	}
 	if st.ended {
-		return false
+		return errStreamEnded
 	}
 	st.queue = append(st.queue, it)
 	st.queuedBytes += len(it.raw)
-	return true
+	return nil
+}
+
+// waitForChange waits until the queue has shrunk or the stream has ended, at most for a duration. The caller
+// holds mu.
+func (st *stream) waitForChange(d time.Duration) {
+	timer := time.AfterFunc(d, func() {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		st.changed.Broadcast()
+	})
+	defer timer.Stop()
+	st.changed.Wait()
 }
 
 // pop removes and returns the oldest item of the queue, if there is one.
@@ -163,12 +183,12 @@
 	st.markEnded() // not earlier, as the client's goroutine then closes the connection
 }
 
-// awaitEnd blocks until the stream has ended.
+// awaitEnd blocks until the stream has ended, at most until the client is gone.
 func (st *stream) awaitEnd() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for !st.ended {
-		st.changed.Wait()
+	for !st.ended && st.client.PeerGone() == nil {
+		st.waitForChange(splice.PeerCheckInterval)
 	}
 }
 
