Do not run an id again that came again after its client had left

A client left; another that sent its id was served, and servers got the same request twice.

Cause: an id was free as soon as both sides had finished with its request, though a server may have run it or may run it yet. Nothing stood for that time.

A request that no server can have run gives its name up at once, as before.

TestOneRequestPerID asked that the id be free at once after its client had left, which is this fault. It now wants ERR before, and UP after the deadline, not earlier.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -91,9 +91,7 @@
 }
 
 // nameTaken reports whether another request has the same name. The caller holds the lock.
-func (r *Request) nameTaken() bool {
-	return r.Name != "" && r.table.requests.byName[r.Name] != r
-}
+func (r *Request) nameTaken() bool { return !r.table.requests.names.isOwnedBy(r) }
 
 // decisionRequest returns the request in the form that the decision module uses. The caller holds the lock.
 func (r *Request) decisionRequest() decide.Request {
--- a/internal/relay/request_model_test.go
+++ b/internal/relay/request_model_test.go
@@ -12,8 +12,9 @@
 type requestModel struct {
 	request       *Request
 	client        *fakeSide
-	lease         *fakeLease // nil for none
-	name          string     // "" for none, or if another open request has the name
+	lease         *fakeLease    // nil for none
+	name          string        // "" for none, or if another request has the name
+	retainedUntil time.Duration // when a request that may have run gives up its name, 0 before its end
 	nonIdempotent bool
 	deadline      time.Duration
 
@@ -33,6 +34,23 @@
 	writeBegun      bool
 }
 
+// The settings by which the model's classes retain names.
+const (
+	modelDeadline    = 300 * time.Millisecond // of the first class
+	modelDedupWindow = 500 * time.Millisecond // of the second class
+)
+
+// retain starts the time for which the name of a request that may have run is retained.
+func (m *requestModel) retain(now time.Duration) {
+	if !m.done() || !m.mayRun || m.retainedUntil != 0 {
+		return
+	}
+	m.retainedUntil = now + modelDeadline
+	if m.nonIdempotent {
+		m.retainedUntil = now + modelDedupWindow
+	}
+}
+
 // done reports whether both sides have finished with the request.
 func (m *requestModel) done() bool { return m.state == Ended && !m.inFlight }
 
@@ -106,7 +124,8 @@
 	}
 	nameTaken := false
 	for _, other := range w.models {
-		nameTaken = nameTaken || m.name != "" && other.name == m.name && !other.done()
+		nameTaken = nameTaken || m.name != "" && other.name == m.name &&
+			(!other.done() || w.clock.Now() < other.retainedUntil)
 	}
 	o := RequestParams{Name: m.name, Class: decide.Class(who % 2), Timeout: time.Second}
 	if arg >= 128 {
@@ -298,6 +317,7 @@
 		}
 	}
 	for who, m := range w.models {
+		m.retain(w.clock.Now())
 		r := m.request
 		state, answer := r.State()
 		if state != m.state || answer.Kind != m.answer || r.lastAttempt.inFlight != m.inFlight {
@@ -345,6 +365,8 @@
 		[]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 11, 0, 0, 3, 0, 0, 5, 0, 0, 10, 0, 9, 12, 0, 0, 13, 0, 0, 0, 2, 0}},
 	{"name taken, request fails, name free again",
 		[]byte{0, 0, 1, 1, 0, 0, 0, 1, 1, 14, 0, 0, 0, 2, 1, 5, 0, 0, 0, 3, 1}},
+	{"request may have run, name taken, name free again",
+		[]byte{0, 0, 1, 1, 0, 0, 2, 0, 0, 3, 0, 0, 6, 0, 0, 5, 0, 0, 0, 1, 1, 10, 0, 90, 0, 2, 1}},
 	{"client error after it is established",
 		[]byte{0, 0, 0, 1, 0, 0, 2, 0, 0, 3, 0, 0, 4, 0, 0, 14, 0, 0, 15, 0, 0, 5, 0, 0}},
 	{"client closed, not read yet",
@@ -369,8 +391,9 @@
 		f.Add(seed.steps)
 	}
 	f.Fuzz(func(t *testing.T, input []byte) {
-		class := decide.ClassInfo{Idempotency: decide.NonIdempotent}
-		table, dialer := newTestTable(decide.Settings{MaxAttempts: 3}, decide.ClassInfo{}, class)
+		first := decide.ClassInfo{Deadline: modelDeadline}
+		second := decide.ClassInfo{Idempotency: decide.NonIdempotent, DedupWindow: modelDedupWindow}
+		table, dialer := newTestTable(decide.Settings{MaxAttempts: 3}, first, second)
 		w := &modelTest{
 			T:            t,
 			table:        table,
--- a/internal/relay/request_table.go
+++ b/internal/relay/request_table.go
@@ -52,7 +52,7 @@
 // requestIndex contains the requests that at least one side has not finished with.
 type requestIndex struct {
 	byID   map[decide.RequestID]*Request
-	byName map[string]*Request // the first request with each name
+	names  requestNames
 	lastID decide.RequestID
 }
 
@@ -61,9 +61,7 @@
 	i.lastID++
 	r.ID = i.lastID
 	i.byID[r.ID] = r
-	if r.Name != "" && i.byName[r.Name] == nil {
-		i.byName[r.Name] = r
-	}
+	i.names.take(r, r.table.Clock.Now())
 }
 
 // remove removes a request from the index. It returns false if the request was removed before.
@@ -72,9 +70,7 @@
 		return false
 	}
 	delete(i.byID, r.ID)
-	if i.byName[r.Name] == r {
-		delete(i.byName, r.Name)
-	}
+	i.names.giveUp(r, r.retainNameUntil())
 	return true
 }
 
@@ -87,8 +83,8 @@
 		dialer:     dialer,
 		inbox:      inbox{ready: make(chan struct{}, 1)},
 		requests: requestIndex{
-			byID:   map[decide.RequestID]*Request{},
-			byName: map[string]*Request{},
+			byID:  map[decide.RequestID]*Request{},
+			names: requestNames{inUse: map[string]*Request{}},
 		},
 		endpoints: endpointList{deployment: deployment, clock: clock, byID: map[string]*Server{}},
 		counters:  requestCounters{byClass: make([]ClassCounts, len(deployment.Settings.Classes))},
@@ -114,8 +110,8 @@
 }
 
 // Open opens a request. It rejects the request at once if the relay is shutting down or being drained. It
-// fails a request with the name of another open request, because a server would take it for a second attempt
-// of that one.
+// fails a request with the name of another one that is open, or may have run a short time ago, because a server
+// would take it for a second attempt of that one.
 func (t *RequestTable) Open(o RequestParams, client ClientConn) *Request {
 	r, acquire := t.open(o, client)
 	if acquire { // without the lock, because the lease may answer at once
--- a/internal/relay/silent_servers.go
+++ b/internal/relay/silent_servers.go
@@ -75,6 +75,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
+	t.requests.names.expire(now)
 	t.detectProcessStop(now)
 	t.checkEndpointLease()
 	for _, r := range t.requests.byID {
--- a/internal/wire/platform/platform_test.go
+++ b/internal/wire/platform/platform_test.go
@@ -131,6 +131,9 @@
 	return l
 }
 
+// testDeadline is the deadline of the class of startRelay's relay.
+const testDeadline = 600 * time.Millisecond
+
 // startRelay starts a relay with one server for each answer. Server i has the id "s<i>" and answers first
 // lines with answers[i].
 func startRelay(
@@ -140,7 +143,7 @@
 	clock := relay.NewClock()
 	deployment := newDeployment(decide.ClassInfo{
 		LatencyObjective: 300 * time.Millisecond,
-		Deadline:         600 * time.Millisecond,
+		Deadline:         testDeadline,
 	})
 	deployment.LoadField = "x0"
 	deployment.Settings.Probes = true
@@ -384,8 +387,8 @@
 	}
 }
 
-// While a request exists, a second client must not open one with the same id: the server would take it as a
-// second attempt of the first request.
+// While a request exists, and after it until servers have forgotten it, a second client must not open one with
+// the same id: the server would take it as a second attempt of the first request, and run it twice.
 func TestOneRequestPerID(t *testing.T) {
 	address, requests, servers := startRelay(t, "UP")
 	c := openConnection(t, address, openingLine)
@@ -402,12 +405,22 @@
 		t.Errorf("first client: got line %q and %d first lines at the server, want M 1 and 1",
 			got, len(servers[0].FirstLines))
 	}
+	ended := time.Now() // at the earliest
 	c.Close()
 	for requests.MigrateClients(0) > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if got := openConnection(t, address, openingLine).next(); got != "UP a1" {
-		t.Errorf("after the first request ended: got answer %q, want UP a1", got)
+	if got := openConnection(t, address, openingLine).next(); got != "ERR" || len(servers[0].FirstLines) != 1 {
+		t.Errorf("after the first request's client left: got answer %q and %d first lines at the server, "+
+			"want ERR and 1", got, len(servers[0].FirstLines))
+	}
+	for openConnection(t, address, openingLine).next() != "UP a1" {
+		if time.Since(ended) > 10*time.Second {
+			t.Fatal("10 s after the first request ended its id is still taken, want it free")
+		}
+	}
+	if free := time.Since(ended); free < testDeadline {
+		t.Errorf("id free %v after the first request ended, want %v", free, testDeadline)
 	}
 }
 
