Share the ids of open requests between the processes of an upgrade

While the process was replaced, a client that sent the id of a request that was open at the old process was served by the new one: two connections of one request at servers at once.

Cause: the index of names was the process's, though two processes are one relay in an upgrade.

Fix: each name is a lock on one byte of a file in $TMPDIR, at the name's hash. The kernel compares and sets in one step, and releases the locks of a process that ends, so that nothing is left behind by a kill. The file is used only where the listening socket is inherited. Skipped: a socket between the processes, which would have to answer before each request, and a file for each name, which a killed process leaves behind.

The test failed before: ops_test.go:144: line "OPEN 9b1f 7f3a c=map-stream,t=acme,d=2000": got answer "UP 9b1f\r\n", error <nil>; want ERR

--- a/cmd/capersail/ops_test.go
+++ b/cmd/capersail/ops_test.go
@@ -125,6 +125,31 @@
 	}
 }
 
+// While the process is replaced, a client that sends the id of a request that is open at the old process must not
+// be served by either process: the request would be at two servers at once.
+func TestUpgradeServesNoIDTwice(t *testing.T) {
+	l, config := newInheritableSocket(t)
+	dir := "TMPDIR=" + t.TempDir()
+	old, _, _ := startOnInheritedSocket(t, config, l, dir)
+	c := dial(t, l.Addr().String())
+	c.sendAndExpect(t, openLine, "UP")
+	startOnInheritedSocket(t, config, l, dir)
+	const tries = 20
+	sendAgain := func() {
+		t.Helper()
+		for range tries {
+			dial(t, l.Addr().String()).sendAndExpect(t, openLine, "ERR")
+		}
+	}
+	sendAgain() // either process accepts
+	old.Process.Signal(syscall.SIGTERM)
+	sendAgain()
+	if got, err := c.in.ReadString('\n'); strings.TrimSpace(got) != "MOVE" {
+		t.Errorf("client of the old process: got %q, error %v; want MOVE", got, err)
+	}
+	old.Wait()
+}
+
 // Another process that shares the socket has made it blocking, so that the relay's accept call waits in the
 // kernel. Even so, a relay that shuts down accepts no further connection. Guards against a connection that an
 // old process accepts while it exits and that no process answers.
--- a/internal/lifecycle/platform.go
+++ b/internal/lifecycle/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,6 +31,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if inherited { // another process of the relay may serve the socket
+		names, err := openNameLocks(os.TempDir())
+		if err != nil {
+			return nil, err
+		}
+		requests.SetNameClaims(names)
+	}
 	limiter := connlimit.New(clock, connectionCapacity(c.Sockets, c.Admin != ""), log)
 	front := &platform.Frontend{Requests: requests, Deployment: c.Deployment, Limiter: limiter}
 	hooks := &frontHooks{
