Forward what a client sent just before it reset its connection

An idle XMPP client that ends its stream and closes with something unread resets its connection; the relay, looking for the first time since long, would have dropped the farewell that came in the same moment, which it forwarded before.

Cause: a reset counted as gone at once, a close after 80 ms, though the rule is one: nothing begun over 0.1 s after.

Fix: one grace for both. TestPeerIsGoneBehindUnreadData now also wants that the peer is not gone earlier.

--- a/internal/wire/splice/conn.go
+++ b/internal/wire/splice/conn.go
@@ -47,7 +47,7 @@
 
 	// The state of PeerGone, which only the goroutine that reads the connection uses.
 	peerCheckedAt time.Duration
-	peerEndedAt   time.Duration // when the peer was first seen to have closed in order, 0 for never
+	peerEndedAt   time.Duration // when the peer was first seen to have closed, 0 for never
 	peerGone      error
 }
 
--- a/internal/wire/splice/conn_test.go
+++ b/internal/wire/splice/conn_test.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// A peer is gone at once after a reset, and leaveGrace after a close, whatever it sent before. What it sent was
-// forwarded for as long as it lay unread.
+// A peer is gone leaveGrace after it has closed its connection, whatever it sent before. What it sent was
+// forwarded for as long as it lay unread; what it sent just before must still be.
 func TestPeerIsGoneBehindUnreadData(t *testing.T) {
 	for name, c := range map[string]struct {
 		leave func(peer *net.TCPConn)
@@ -95,7 +95,11 @@
 			t.Errorf("before %s: got %v, want nil", name, err)
 		}
 		c.leave(peer)
+		left := e.Clock.Now()
 		e.Pause(10 * time.Second) // ends once the peer is gone
+		if after := e.Clock.Now() - left; after < leaveGrace-2*PeerCheckInterval {
+			t.Errorf("%s: the peer is gone after %v, want %v or little less", name, after, leaveGrace)
+		}
 		if err := e.PeerGone(); !errors.Is(err, c.want) {
 			t.Errorf("after %s behind unread data: got %v, want %v", name, err, c.want)
 		}
--- a/internal/wire/splice/descriptor.go
+++ b/internal/wire/splice/descriptor.go
@@ -46,30 +46,32 @@
 	peerBroken           // with a reset
 )
 
-// PeerClosed reports, without blocking, whether the peer has closed its connection, also if that is behind data
-// that has not been read.
+// PeerClosed reports, without blocking, whether the peer has closed its connection, also if that is behind
+// data that has not been read.
 func (c *Conn) PeerClosed() bool { return c.pollPeer() != peerOpen }
 
-// PeerGone returns an error if what the peer has sent must not be forwarded any more: io.EOF if it has closed
-// its connection in order leaveGrace ago or earlier, ECONNRESET if it has reset it. Only the goroutine that
-// reads the connection calls it. It may be called for each message.
+// PeerGone returns an error if what the peer has sent must not be forwarded any more, as it closed its
+// connection leaveGrace ago or earlier: io.EOF, or ECONNRESET after a reset. Only the goroutine that reads the
+// connection calls it. It may be called for each message.
 func (c *Conn) PeerGone() error {
 	now := c.Clock.Now()
 	if now-c.peerCheckedAt < PeerCheckInterval {
 		return c.peerGone
 	}
 	c.peerCheckedAt = now
-	switch c.pollPeer() {
-	case peerOpen:
-	case peerBroken:
+	how := c.pollPeer()
+	if how == peerOpen {
+		return nil
+	}
+	if c.peerEndedAt == 0 {
+		c.peerEndedAt = now
+	}
+	if now-c.peerEndedAt < leaveGrace-PeerCheckInterval {
+		return nil
+	}
+	c.peerGone = io.EOF
+	if how == peerBroken {
 		c.peerGone = syscall.ECONNRESET
-	case peerEnded:
-		if c.peerEndedAt == 0 {
-			c.peerEndedAt = now
-		}
-		if now-c.peerEndedAt >= leaveGrace-PeerCheckInterval && c.peerGone == nil {
-			c.peerGone = io.EOF
-		}
 	}
 	return c.peerGone
 }
