Let the server of the test of clients that left read on while it is held

Cause, traced in the test: its server stopped reading at the relay's ping. The ping comes after 32 stanzas if the relay's server side runs before the queue is full, and up to 32 more follow at once. They lay in the server's buffer, were sent before the client left, and were counted after it. The program is not at fault.

Change: the server reads on and holds only its answers, so what it counts after 0.1 s was sent after 0.1 s. The bound is the same and the check stricter: it no longer depends on what lay in a buffer.

--- a/internal/lifecycle/left_client_test.go
+++ b/internal/lifecycle/left_client_test.go
@@ -32,7 +32,7 @@
 	received strings.Builder
 }
 
-// startGatedXMPP starts a server that waits before it answers the first text that contains step.
+// startGatedXMPP starts a server that waits before it answers texts that contain step.
 func startGatedXMPP(b *xmppFixture, step string) *gatedXMPP {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,16 +67,21 @@
 		return
 	}
 	defer close(g.ended)
-	held := false
-	hold := func(text string) {
-		if !held && strings.Contains(text, step) {
-			held = true
-			close(g.reached)
-			<-g.proceed
+	var reach sync.Once
+	// answer sends an answer to a text, at the step not before the test lets the server go on. The server reads
+	// on meanwhile, so that it has all that was sent before.
+	answer := func(to, text string) {
+		if !strings.Contains(to, step) {
+			io.WriteString(conn, text)
+			return
 		}
+		reach.Do(func() { close(g.reached) })
+		go func() {
+			<-g.proceed
+			io.WriteString(conn, text)
+		}()
 	}
-	hold(marker)
-	io.WriteString(conn, gatedFeatures)
+	answer(marker, gatedFeatures)
 	for {
 		tag, err := in.ReadString('>')
 		if err != nil {
@@ -85,16 +90,15 @@
 		g.mu.Lock()
 		g.received.WriteString(tag)
 		g.mu.Unlock()
-		hold(tag)
 		switch {
 		case strings.Contains(tag, "</auth"):
-			io.WriteString(conn, "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>")
+			answer(tag, "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>")
 		case strings.Contains(tag, "<stream:stream"):
-			io.WriteString(conn, gatedFeatures)
+			answer(tag, gatedFeatures)
 		case strings.Contains(tag, "<iq"): // a ping of the relay
 			_, id, _ := strings.Cut(tag, "id='")
 			id, _, _ = strings.Cut(id, "'")
-			fmt.Fprintf(conn, "<iq type='result' id='%s'/>", id)
+			answer(tag, fmt.Sprintf("<iq type='result' id='%s'/>", id))
 		}
 	}
 }
